Test the sidecar over loopback sockets, and mend what reading for the tests found

Seen while writing the tests: a GET with a body went on without a Content-Length, so a server would have read the body as the next request; a silent watch could go unnoticed for two periods; the shares of descriptors left no room at small limits; a peer socket could not be closed in tests. Lines to blame: Exchange.read, Discovery._watch, the shares in inbound and outbound. Done: each mended, with Sidecar as the one place where the parts are wired together.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -8,12 +8,13 @@
 import signal
 import sys
 
-from fordtrestle import config, peers
-from fordtrestle.config import Config, ConfigError
+from fordtrestle import config
+from fordtrestle.config import Address, Config, ConfigError
 from fordtrestle.discovery import Discovery
 from fordtrestle.driver import Clock, Driver, log
 from fordtrestle.inbound import Inbound
 from fordtrestle.outbound import Pool
+from fordtrestle.peers import Peers
 
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
 # longest deadline and 0.7 s after it, and nothing may be taken past 0.7 s.
@@ -22,38 +23,60 @@
 LAST_BYTES_S = 0.3
 
 
+class Sidecar:
+    """All parts of one sidecar, wired together."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, told: Config) -> None:
+        self._told = told
+        self._loop = loop
+        clock = Clock(loop)
+        self.driver = Driver(loop, clock, told)
+        self.pool = Pool(loop, clock, told)
+        self.discovery = Discovery(loop, told, self.driver.server_list)
+        self.inbound = Inbound(loop, clock, told, self.driver)
+        self.peers = Peers(told, self.driver.peer_message)
+
+    async def start(self) -> Address:
+        """Be ready: the known list is taken in before the first request; where it listens."""
+        await self.peers.listen(self._loop)
+        self.driver.connect(self.pool, self.discovery, self.peers)
+        self.discovery.start()
+        return await self.inbound.listen(self._told.listen)
+
+    async def drain(self) -> None:
+        """Stop listening, finish what was taken, close connections between requests."""
+        self.inbound.stop_listening()
+        while not self.driver.idle:
+            await asyncio.sleep(POLL_S)
+            self.inbound.close_idle()
+        until = self._loop.time() + LAST_BYTES_S
+        while not self.inbound.empty and self._loop.time() < until:
+            await asyncio.sleep(POLL_S)
+            self.inbound.close_idle()
+
+    def close(self) -> None:
+        """Close what is left."""
+        self.inbound.close()
+        self.pool.close()
+        self.discovery.close()
+        self.peers.close()
+
+
 async def serve(told: Config) -> None:
     """Run until SIGTERM, and then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    clock = Clock(loop)
-    driver = Driver(loop, clock, told)
-    pool = Pool(loop, clock, told)
-    discovery = Discovery(loop, told, driver.server_list)
-    gossip = await peers.listen(loop, told, driver.peer_message)
-    driver.connect(pool, discovery, gossip)
-    discovery.start()
-    inbound = Inbound(loop, clock, told, driver)
-    await inbound.listen(told.listen)
+    sidecar = Sidecar(loop, told)
+    await sidecar.start()
     # What is there now stays: later collections need not walk it, and stop the loop for less.
     gc.collect()
     gc.freeze()
     await stop.wait()
     await asyncio.sleep(STILL_LISTEN_S)
-    inbound.stop_listening()
-    while not driver.idle:
-        await asyncio.sleep(POLL_S)
-        inbound.close_idle()
-    inbound.close_idle()
-    until = loop.time() + LAST_BYTES_S
-    while not inbound.empty and loop.time() < until:
-        await asyncio.sleep(POLL_S)
-    inbound.close()
-    pool.close()
-    discovery.close()
-    gossip.close()
+    await sidecar.drain()
+    sidecar.close()
 
 
 def main() -> int:
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -13,6 +13,7 @@
 from poppypulley import model
 
 KEY_BELOW = 2**53
+RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
 STATES = frozenset(("active", "leaving", "left"))
 
 
@@ -64,7 +65,7 @@
     listen: Address
     discovery: Address
     seed: int
-    sockets: int
+    descriptors: int  # for connections
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -90,7 +91,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-        return _config(raw, environment)
+        return parse(raw, environment)
     except OSError as error:
         raise ConfigError(f"configuration: {error.strerror}") from error
     except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -98,7 +99,8 @@
         raise ConfigError(" ".join(f"configuration: {what}".split())) from error
 
 
-def _config(raw: Any, environment: Mapping[str, str]) -> Config:
+def parse(raw: Any, environment: Mapping[str, str]) -> Config:
+    """The configuration from its JSON; the environment has the last word on addresses."""
     settings, names = raw["settings"], _names(raw["settings"])
     limits, rules = settings.get("PolicyLimits") or {}, settings.get("Rules") or {}
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -108,7 +110,7 @@
         listen=parse_address(environment.get("NODE_LISTEN") or raw["listen"]),
         discovery=parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
         seed=stable_number(str(raw.get("seed", ""))),
-        sockets=given if allowed < 0 else min(given, allowed),
+        descriptors=max(4, (given if allowed < 0 else min(given, allowed)) - RESERVED),
         peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
         peers=tuple(parse_address(peer) for peer in raw.get("peers") or ()),
         peers_all=parse_address(raw["peers_all"]) if raw.get("peers_all") else None,
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -32,8 +32,10 @@
         self._buffer = bytearray()
         self._status = 0
         self._transport: asyncio.Transport
-        self.heard = 0  # bytes so far
-        self.broken = asyncio.get_running_loop().create_future()
+        self._loop = asyncio.get_running_loop()
+        self.heard = False
+        self.heard_at = self._loop.time()
+        self.broken = self._loop.create_future()
         self.complete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -44,7 +46,7 @@
 
     def data_received(self, data: bytes) -> None:
         """A part of the answer; what is no HTTP, no list or refused ends the connection."""
-        self.heard += len(data)
+        self.heard, self.heard_at = True, self._loop.time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -146,8 +148,11 @@
         """Watch for as long as this process runs; wait longer after each failure in a row."""
         wait = BACKOFF_S
         while True:
-            if await self._watch():
-                wait = BACKOFF_S
+            try:
+                if await self._watch():
+                    wait = BACKOFF_S
+            except Exception as error:  # a dead watch would go on sending to servers that drain
+                log(f"discovery: {error!r}")
             await asyncio.sleep(wait * (0.5 + self._rng.random()))
             wait = min(2.0 * wait, BACKOFF_MOST_S)
 
@@ -161,16 +166,15 @@
         channel = await self._open(f"{PATH}?watch=1&from={self._version}", self._changed, SILENT_S)
         if channel is None:
             return False
-        heard = 0
         try:
-            while not channel.broken.done():
-                await asyncio.wait((channel.broken,), timeout=SILENT_S)
-                if channel.heard == heard:
+            # Guards against a machine that is cut off: its connections stay open and silent.
+            while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
+                await asyncio.wait((channel.broken,), timeout=left)
+                if channel.broken.done():
                     break
-                heard = channel.heard
         finally:
             channel.close()
-        return heard > 0
+        return channel.heard
 
     async def _fetch(self) -> None:
         got: list[bytes] = []
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -16,8 +16,8 @@
 
 READY_PATH = "/health/ready"
 BACKLOG = 2048
-SHARE = 0.35  # of the descriptors: past it idle connections are closed, then requests refused
-HARD_SHARE = 0.42  # past this a connection is closed unread
+SHARE = 0.4  # of the descriptors: past it idle connections are closed, then requests refused
+HARD_SHARE = 0.47  # past this a connection is closed unread
 PIPELINED_MOST = 16
 HALF_SENT_S = 10.0  # for the rest of a request whose first byte has come
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
@@ -80,7 +80,9 @@
         self.mutates = "Mutates=1" in (message.text("x-call-info") or "").split(",")
         self._body = bytes(message.body)
         headers = framing.end_to_end(message.headers, NOT_FOR_SERVERS)
-        length = b"" if message.method == "GET" else b"Content-Length: %d\r\n" % len(self._body)
+        # Guards against a body without a length, which a server would read as the next request.
+        bare = message.method == "GET" and not self._body
+        length = b"" if bare else b"Content-Length: %d\r\n" % len(self._body)
         self._head = b"%b %b HTTP/1.1\r\n%b%b" % (
             message.method.encode(),
             message.target,
@@ -354,7 +356,7 @@
         if message is None:
             return
         if not message.head_done:
-            self._head_bytes = max(self._head_bytes, 0) + count
+            self._head_bytes += count
             if self._head_bytes > 2 * framing.MAX_HEAD:
                 self._turn_away(431)
                 return
@@ -376,8 +378,8 @@
         self.taker = taker
         self.draining = False
         self._names = config.names
-        self._soft = max(1, int(config.sockets * SHARE))
-        self._hard = max(2, int(config.sockets * HARD_SHARE))
+        self._soft = max(1, int(config.descriptors * SHARE))
+        self._hard = max(2, int(config.descriptors * HARD_SHARE))
         self._connections: dict[Connection, None] = {}
         self._server: asyncio.Server | None = None
 
@@ -441,5 +443,6 @@
                 exchange.read(message, self._names)
                 exchange.request = self.taker.arrive(exchange, read_at)
             except BadRequest as error:
-                exchange.answer = (error.status, [], f"{error}\n".encode())
+                text = "" if message.method == "HEAD" else f"{error}\n"
+                exchange.answer = (error.status, [], text.encode())
         exchange.connection.flush()
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -184,7 +184,7 @@
         self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
-        self._most = max(1, int(config.sockets * POOL_SHARE))
+        self._most = max(1, int(config.descriptors * POOL_SHARE))
         self._servers: dict[str, Server] = {}
         self._connections: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
--- a/fordtrestle/peers.py
+++ b/fordtrestle/peers.py
@@ -16,6 +16,7 @@
     """The other sidecars of the tier."""
 
     def __init__(self, config: Config, hear: Callable[[int, bytes], None]) -> None:
+        self._bind = config.peer_listen if config.settings.peer_messages else None
         self._me = config.settings.me
         self._addresses = config.peers
         self._all = config.peers_all
@@ -23,6 +24,11 @@
         self._hear = hear
         self._transport: asyncio.DatagramTransport | None = None
 
+    async def listen(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Bind where messages arrive, if the settings allow them."""
+        if self._bind is not None:
+            await loop.create_datagram_endpoint(lambda: self, local_addr=self._bind)
+
     def tell(self, peer: int | None, data: bytes) -> None:
         """Send a message to one peer, or to all."""
         if self._transport is None or len(data) > MESSAGE_MOST:
@@ -51,13 +57,3 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
-
-
-async def listen(
-    loop: asyncio.AbstractEventLoop, config: Config, hear: Callable[[int, bytes], None]
-) -> Peers:
-    """Bind where messages arrive, if the settings allow them."""
-    peers = Peers(config, hear)
-    if config.settings.peer_messages and config.peer_listen is not None:
-        await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
-    return peers
--- /dev/null
+++ b/tests/test_sidecar_attempts.py
@@ -0,0 +1,358 @@
+"""Attempts on real sockets: what is written where, and which outcome each one has."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from fordtrestle import outbound
+from fordtrestle.config import Address
+from fordtrestle.driver import Clock
+from poppypulley.model import Cancel, CloseIdle, Fail, Outcome, Probe, Refuse, Send
+from tests.loopback import OK, App, Scripted, Upstream, break_off, hang, loopback, running, told, until
+
+ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+OVER = b"HTTP/1.1 504 Gateway Timeout\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+UNMARKED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+ENDED = b"HTTP/1.1 200 OK\r\n\r\nuntil the end"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def failing(now, number, hop, status, spent, last, report):
+    return [] if last else [Fail(number)]
+
+
+async def cut_short(reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf")
+
+
+async def end_after(reader, writer):
+    writer.write(ENDED)
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome", "status"),
+    [
+        (OK, Outcome.OK, "200"),
+        (INTERIM + OK, Outcome.OK, "200"),
+        (end_after, Outcome.OK, "200"),
+        (ERROR, Outcome.ERROR, "502"),
+        (UNMARKED, Outcome.ERROR, "502"),
+        (FULL, Outcome.FULL, "502"),
+        (OVER, Outcome.FULL, "502"),
+        (break_off, Outcome.RESET, "502"),
+        (cut_short, Outcome.RESET, "502"),
+        (b"no HTTP at all\r\n\r\n", Outcome.RESET, "502"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, Outcome.RESET, "502"),
+    ],
+)
+@loopback
+async def test_what_comes_back_tells_the_outcome(reply, outcome, status):
+    async def then_end(reader, writer):
+        await reply(reader, writer)
+
+    upstream = await Upstream([then_end if callable(reply) else reply]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        answer = await app.ask()
+        assert answer.start.split(" ")[1] == status
+        await until(lambda: module.outcomes() == [(0, outcome, outcome == Outcome.OK)])
+
+
+@loopback
+async def test_a_request_goes_on_unchanged_with_the_time_left_and_its_answer_comes_back_unchanged():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        answer = await app.ask("POST", "/book/1?a=b", b"\x00body", Cookie="user=u1")
+    (seen,) = upstream.seen
+    assert seen.start == "POST /book/1?a=b HTTP/1.1"
+    assert (seen.body, answer.body) == (b"\x00body", b"done")
+    assert (seen.headers["x-call-id"], seen.headers["idempotency-key"]) == ("9b1f03aa5c7e2d41", "k1")
+    assert 0 < int(seen.headers["x-budget"].removesuffix("u")) < 4_000_000
+
+
+@loopback
+async def test_a_refused_connection_could_not_connect():
+    upstream = await Upstream().start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        upstream.stop()
+        await (await App.connect(sidecar.address)).ask()
+        assert module.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+
+
+def pooled(upstream):
+    loop = asyncio.get_running_loop()
+    pool = outbound.Pool(loop, Clock(loop), told([upstream]))
+    name, port = upstream.address.split(":")
+    pool.update(0.0, True, {"s0": "active"}, {"s0": Address(name, int(port))})
+    return pool
+
+
+@pytest.mark.parametrize(("reads_all", "outcome"), [(False, Outcome.CONNECT_FAILED), (True, Outcome.RESET)])
+@loopback
+async def test_bytes_that_are_merely_buffered_are_not_written(reads_all, outcome):
+    loop = asyncio.get_running_loop()
+    upstream = await Upstream().start()
+    pool = pooled(upstream)
+    near, far = socket.socketpair()
+    for end in (near, far):
+        end.setblocking(False)
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    _, connection = await loop.create_connection(
+        lambda: outbound.Connection(pool, pool._servers["s0"]), sock=near
+    )
+    done = []
+    message = b"x" * 500_000
+    connection.begin(outbound.Exchange(lambda left: message, 0.0, done.append, False), message)
+    read = 0
+    while read < (len(message) if reads_all else 1000):
+        read += len(await loop.sock_recv(far, 1000))
+    far.close()
+    await until(lambda: done)
+    assert [result.outcome for result in done] == [outcome]
+    upstream.stop()
+
+
+@loopback
+async def test_an_attempt_cancelled_while_it_connects_writes_nothing():
+    upstream = await Upstream().start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0), Cancel(arrival.request, 0)],
+        outcome=failing,
+    )
+    async with running(upstream, balancer=module) as sidecar:
+        answer = await (await App.connect(sidecar.address)).ask()
+        assert answer.start.split(" ")[1] == "502"
+        assert module.outcomes() == [(0, Outcome.CANCELLED, False)]
+        await asyncio.sleep(0)
+        assert upstream.seen == []
+
+
+@loopback
+async def test_a_time_out_closes_the_connection_and_its_outcome_comes_once():
+    upstream = await Upstream([hang]).start()
+    module = Scripted(request=lambda now, arrival: [Send(arrival.request, "s0", 60.0)], outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        await until(lambda: upstream.writers[0].is_closing())
+        assert module.outcomes() == [(0, Outcome.TIMEOUT, False)]
+
+
+@loopback
+async def test_a_cancelled_attempt_has_one_outcome_and_frees_no_connection_for_others():
+    upstream = await Upstream([hang, OK]).start()
+
+    def later(now, number, hop, status, spent, last, report):
+        return [] if last else [Send(number, "s0", 0.0)]
+
+    module = Scripted(outcome=later)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        await until(lambda: upstream.seen)
+        (number,) = sidecar.driver._requests
+        sidecar.driver._act(Cancel(number, 0))
+        sidecar.driver._act(Cancel(number, 0))
+        assert (await app.answer()).body == b"done"
+        assert module.outcomes() == [(0, Outcome.CANCELLED, False), (1, Outcome.OK, True)]
+        assert [seen.connection for seen in upstream.seen] == [0, 1]
+        assert not sidecar.driver._requests
+
+
+@loopback
+async def test_past_the_most_attempts_and_after_the_answer_a_send_is_moot():
+    upstream = await Upstream([FULL, FULL, FULL, OK]).start()
+
+    def again(now, number, hop, status, spent, last, report):
+        if status == Outcome.FULL:
+            return [Send(number, "s0", 0.0)]
+        return [Refuse(number, 0.0), Send(number, "s0", 0.0)] if hop == 3 else []
+
+    module = Scripted(outcome=again)
+    async with running(upstream, balancer=module) as sidecar:
+        await (await App.connect(sidecar.address)).ask()
+        await until(lambda: len(module.outcomes()) == 5)
+        assert module.outcomes()[3:] == [(3, Outcome.MOOT, False), (4, Outcome.MOOT, True)]
+        assert len(upstream.seen) == 3
+        assert not sidecar.driver._requests
+
+
+@loopback
+async def test_two_copies_may_be_out_and_only_the_first_answer_counts():
+    slow = asyncio.Event()
+
+    async def wait(reader, writer):
+        await slow.wait()
+        return OK.replace(b"done", b"late")
+
+    first, second = await Upstream([wait]).start(), await Upstream([OK]).start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0), Send(arrival.request, "s1", 0.0)]
+    )
+    async with running(first, second, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        slow.set()
+        await until(lambda: len(module.outcomes()) == 2)
+        assert module.outcomes() == [(1, Outcome.OK, True), (0, Outcome.OK, True)]
+        assert (await app.ask()).body in (b"done", b"late")
+
+
+# --- the pool -------------------------------------------------------------------
+
+
+@loopback
+async def test_connections_are_reused_newest_first_and_closed_ones_are_noticed():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        one, two = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        one.send()
+        two.send()
+        assert (await one.answer()).body == (await two.answer()).body == b"done"
+        newest = upstream.seen[-1].connection
+        await one.ask()
+        await one.ask()
+        assert {seen.connection for seen in upstream.seen[2:]} <= {newest, 1 - newest}
+        assert len({seen.connection for seen in upstream.seen[2:]}) == 1
+        upstream.writers[upstream.seen[-1].connection].close()
+        idle = sidecar.pool._servers["s0"].idle
+        await until(lambda: len(idle) == 1)
+        assert (await one.ask()).body == b"done"
+        assert len(upstream.writers) == 2
+
+
+@loopback
+async def test_an_end_that_the_loop_has_not_read_yet_is_seen_before_a_write():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        (connection,) = sidecar.pool._servers["s0"].idle
+        upstream.writers[0].close()
+        await until(lambda: upstream.writers[0].transport.get_extra_info("socket").fileno() < 0)
+        # A blocking wait: the loop gets no chance to hand out the end.
+        deadline = time.monotonic() + 5.0
+        while connection.fresh() and time.monotonic() < deadline:
+            time.sleep(0.001)
+        assert not connection.fresh()
+
+
+@loopback
+async def test_idle_connections_are_retired_before_the_server_closes_them():
+    upstream = await Upstream([OK]).start()
+    limits = {"MaxAttempts": 3, "IdleClose": 400.0}
+    async with running(upstream, PolicyLimits=limits) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        (connection,) = sidecar.pool._servers["s0"].idle
+        connection.idle_since -= 360.0
+        await app.ask()
+        assert [seen.connection for seen in upstream.seen] == [0, 1]
+        await until(lambda: not sidecar.pool._servers["s0"].idle)
+        await until(lambda: not sidecar.pool._sweeping)
+
+
+@loopback
+async def test_a_request_on_a_dropped_connection_is_reset_and_never_sent_again_by_itself():
+    upstream = await Upstream([OK, break_off]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        await app.ask()
+        assert [status for _, status, _ in module.outcomes()] == [Outcome.OK, Outcome.RESET]
+        assert len(upstream.seen) == 2
+
+
+@loopback
+async def test_close_idle_closes_only_what_is_idle():
+    upstream = await Upstream([OK, OK, hang]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        one, two = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        one.send()
+        two.send()
+        await one.answer()
+        await two.answer()
+        one.send()
+        await until(lambda: len(upstream.seen) == 3)
+        busy = upstream.seen[2].connection
+        sidecar.driver._act(CloseIdle("s0"))
+        await until(lambda: upstream.writers[1 - busy].is_closing())
+        assert not upstream.writers[busy].is_closing()
+
+
+@loopback
+async def test_a_full_pool_closes_idle_connections_first_and_then_fails_to_connect():
+    first, second = await Upstream([OK]).start(), await Upstream([OK, hang]).start()
+    module = Scripted(outcome=failing)
+    servers = iter(["s0", "s1", "s1", "s1"])
+    module.scripts["request"] = lambda now, arrival: [Send(arrival.request, next(servers), 0.0)]
+    async with running(first, second, balancer=module) as sidecar:
+        sidecar.pool._most = 1
+        app, other = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        assert (await app.ask()).body == b"done"
+        await until(lambda: first.writers[0].is_closing())
+        app.send()
+        await until(lambda: len(second.seen) == 2)
+        await other.ask()
+        assert module.outcomes()[-1] == (0, Outcome.CONNECT_FAILED, False)
+
+
+# --- drains -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("state", ["leaving", "left"])
+@loopback
+async def test_nothing_is_first_written_past_the_grace_even_if_it_connects_already(state):
+    upstream = await Upstream([OK]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module, Rules={"StopSendingWithin": 0.0}) as sidecar:
+
+        def send_then_hear(now, arrival):
+            # The news comes while the attempt waits for its connection.
+            asyncio.get_running_loop().call_soon(sidecar.pool.update, now, False, {"s0": state}, {})
+            return [Send(arrival.request, "s0", 0.0)]
+
+        module.scripts["request"] = send_then_hear
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        assert module.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+        assert upstream.seen == []
+
+
+@loopback
+async def test_within_the_grace_an_attempt_may_still_be_written():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, balancer=Scripted(), Rules={"StopSendingWithin": 60_000.0}) as sidecar:
+        app = await App.connect(sidecar.address)
+        sidecar.pool.update(sidecar.driver._clock.now(), False, {"s0": "leaving"}, {})
+        assert (await app.ask()).body == b"done"
+
+
+# --- reports and probes --------------------------------------------------------------
+
+
+@loopback
+async def test_reports_come_with_outcomes_and_probes():
+    upstream = await Upstream([OK, b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ninflight=3"]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        await (await App.connect(sidecar.address)).ask()
+        assert module.named("outcome")[0][-1] == {"inflight": 7.0, "queue": 2.0}
+        sidecar.driver._act(Probe("s0"))
+        await until(lambda: module.named("probe_result"))
+        ((server, status, spent, report),) = module.named("probe_result")
+        assert (server, status, report) == ("s0", Outcome.OK, {"inflight": 3.0})
+        assert spent > 0.0
+        assert upstream.seen[1].start == "GET /stats HTTP/1.1"
+        assert "x-call-id" not in upstream.seen[1].headers
--- /dev/null
+++ b/tests/test_sidecar_lists.py
@@ -0,0 +1,145 @@
+"""Discovery and peers on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from fordtrestle import discovery
+from poppypulley.model import Fetch, Tell, Watch
+from tests.loopback import Registry, Scripted, entry, listed, loopback, running, until
+
+
+def told_of(module):
+    """Form and server names of each list event."""
+    return [(form, [row.server for row in rows]) for form, rows in module.named("server_list")]
+
+
+@loopback
+async def test_the_known_list_comes_first_and_a_pushed_one_is_watched_from_there():
+    registry = await Registry().start()
+    module = Scripted()
+    known = listed(41, entry("s0"))
+    async with running(balancer=module, registry=registry, raw={"known": known}):
+        await until(lambda: registry.watches)
+        assert registry.asked == ["/registry/instances?watch=1&from=41"]
+        registry.tell(43, entry("s1", status="leaving"))
+        registry.write(b"\n")
+        registry.tell(50, entry("s2"), snapshot=True)
+        await until(lambda: len(told_of(module)) == 3)
+        assert told_of(module) == [("remembered", ["s0"]), ("changes", ["s1"]), ("all", ["s2"])]
+
+
+@loopback
+async def test_lines_are_whole_however_they_are_cut_into_chunks():
+    registry = await Registry().start()
+    module = Scripted()
+    async with running(balancer=module, registry=registry):
+        await until(lambda: registry.watches)
+        line = json.dumps(listed(42, entry("s1"), snapshot=False)).encode() + b"\n\n"
+        for i in range(0, len(line), 9):
+            registry.write(line[i : i + 9])
+            await asyncio.sleep(0)
+        await until(lambda: len(told_of(module)) == 2)
+        assert told_of(module)[1] == ("changes", ["s1"])
+
+
+@loopback
+async def test_a_full_list_drops_servers_from_the_pool():
+    registry = await Registry().start()
+    async with running(registry=registry, raw={"known": listed(41, entry("s0"), entry("s1"))}) as sidecar:
+        await until(lambda: registry.watches)
+        registry.tell(42, entry("s1", "127.0.0.1:10"), snapshot=True)
+        await until(lambda: set(sidecar.pool._servers) == {"s1"})
+        assert sidecar.pool._servers["s1"].address.port == 10
+
+
+@loopback
+async def test_changes_up_to_the_version_held_are_not_told_again():
+    registry = await Registry().start()
+    module = Scripted()
+    async with running(balancer=module, registry=registry):
+        await until(lambda: registry.watches)
+        registry.tell(41, entry("old"))
+        registry.tell(42, entry("new"))
+        await until(lambda: len(told_of(module)) == 2)
+        assert told_of(module)[1] == ("changes", ["new"])
+
+
+@pytest.mark.parametrize("how", ["ended", "garbage", "silent"])
+@loopback
+async def test_a_watch_that_breaks_is_opened_again_where_lists_are_pushed(how, monkeypatch):
+    monkeypatch.setattr(discovery, "BACKOFF_S", 0.01)
+    if how == "silent":
+        monkeypatch.setattr(discovery, "SILENT_S", 0.2)
+    registry = await Registry().start()
+    module = Scripted()
+    async with running(balancer=module, registry=registry):
+        await until(lambda: registry.watches)
+        registry.tell(44, entry("s1"))
+        await until(lambda: len(told_of(module)) == 2)
+        if how == "ended":
+            registry.watches[0].close()
+        elif how == "garbage":
+            registry.write(b'{"endpoints": 7}\n')
+        await until(lambda: len(registry.asked) > 1)
+        after = 0 if how == "garbage" else 44
+        assert registry.asked[1] == f"/registry/instances?watch=1&from={after}"
+        assert "refused" not in [form for form, _ in told_of(module)]
+
+
+@loopback
+async def test_where_discovery_is_asked_the_module_says_when_and_hears_of_failures():
+    registry = await Registry(listed(60, entry("s5"))).start()
+    module = Scripted()
+    async with running(balancer=module, registry=registry, Discovery="subscribe") as sidecar:
+        assert registry.asked == []
+        sidecar.driver._act(Watch(True))
+        await until(lambda: registry.watches)
+        registry.watches[0].close()
+        await until(lambda: len(told_of(module)) == 2)
+        sidecar.driver._act(Fetch())
+        await until(lambda: len(told_of(module)) == 3)
+        registry.stop()
+        sidecar.driver._act(Fetch())
+        await until(lambda: len(told_of(module)) == 4)
+        assert told_of(module)[1:] == [("refused", []), ("all", ["s5"]), ("refused", [])]
+        assert len(registry.watches) == 1
+
+
+def udp():
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", 0))
+    sock.settimeout(10.0)
+    return sock
+
+
+@loopback
+async def test_peers_are_known_by_their_address_and_junk_is_dropped():
+    me, peer, stranger, everyone = udp(), udp(), udp(), udp()
+    address = "127.0.0.1:%d" % me.getsockname()[1]
+    me.close()
+    raw = {
+        "peer_listen": address,
+        "peers": [address, "127.0.0.1:%d" % peer.getsockname()[1]],
+        "peers_all": "127.0.0.1:%d" % everyone.getsockname()[1],
+    }
+    module = Scripted()
+    async with running(balancer=module, raw=raw) as sidecar:
+        here = (address.split(":")[0], int(address.split(":")[1]))
+        stranger.sendto(b"who", here)
+        peer.sendto(b"x" * 257, here)
+        peer.sendto(b"x" * 256, here)
+        await until(lambda: module.named("peer_message"))
+        assert module.named("peer_message") == [[1, b"x" * 256]]
+        sidecar.driver._act(Tell(1, b"x" * 257))
+        sidecar.driver._act(Tell(1, b"one"))
+        sidecar.driver._act(Tell(None, b"all"))
+        loop = asyncio.get_running_loop()
+        assert await loop.run_in_executor(None, peer.recv, 999) == b"one"
+        assert await loop.run_in_executor(None, everyone.recv, 999) == b"all"
+    for sock in (peer, stranger, everyone):
+        sock.close()
--- /dev/null
+++ b/tests/test_sidecar_requests.py
@@ -0,0 +1,299 @@
+"""The application's side: what is taken, what is turned away, and one final answer for each."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from fordtrestle import config, inbound
+from fordtrestle.driver import Clock
+from poppypulley.model import Fail, Refuse, Timer
+from tests import loopback as partners
+from tests.loopback import OK, App, Scripted, Upstream, entry, hang, listed, loopback, running, told, until
+
+
+def status_of(answer):
+    return int(answer.start.split(" ")[1])
+
+
+# --- one clock, ids ---------------------------------------------------------------
+
+
+@loopback
+async def test_the_clock_is_unix_time_in_milliseconds_and_a_start_long_ago_stays_0():
+    clock = Clock(asyncio.get_running_loop())
+    assert abs(clock.now() - time.time() * 1000.0) < 1000.0
+    rows = listed(1, entry("old"), entry("new", since_ms=1_790_000_000_000))
+    news = config.parse_list(rows, told().names)
+    assert [row.started for row in news.entries] == [0.0, 1_790_000_000_000.0]
+
+
+def test_a_user_is_the_same_key_in_every_process():
+    assert config.stable_number("7f3a9c21e0b4d655") == 3267690693392718
+    assert all(config.stable_number(str(i)) < 2**53 for i in range(200))
+
+
+@loopback
+async def test_the_module_is_told_indices_and_the_clients_deadline():
+    upstream = await Upstream([OK]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        before = sidecar.driver._clock.now()
+        headers = {"Cookie": "a=b; user=u1", "X_Again": "1", "X_Call_Cost": "2500", "X_Budget": "800000u"}
+        await app.ask("POST", "/pay/now", **headers)
+        ((arrival,),) = module.named("request")
+        (row,) = module.named("server_list")[0][1]
+    assert (arrival.band, arrival.tenant, arrival.work) == (2, 1, 2.5)
+    assert (arrival.again, arrival.mutates) == (True, False)
+    assert arrival.key == config.stable_number("u1")
+    assert 0 <= arrival.request < 2**32
+    assert before + 700.0 < arrival.give_up_at < sidecar_now(arrival, before) + 800.0
+    assert (row.zone, row.kind, row.cell) == (1, 1, 3)
+
+
+def sidecar_now(arrival, before):
+    """The latest time at which the request can have been read."""
+    return max(before, time.time() * 1000.0 + 1.0)
+
+
+# --- one final answer ---------------------------------------------------------------
+
+
+@loopback
+async def test_a_fault_in_the_module_fails_that_request_and_no_other():
+    upstream = await Upstream([OK]).start()
+    module = Scripted()
+    plain = module.scripts["request"]
+
+    def fault(now, arrival):
+        if len(module.named("request")) == 1:
+            raise RuntimeError("a fault")
+        return plain(now, arrival)
+
+    module.scripts["request"] = fault
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask()) == 502
+        assert status_of(await app.ask()) == 200
+        assert len(module.named("client_gone")) == 1
+
+
+@loopback
+async def test_what_the_module_leaves_unanswered_is_failed_at_the_deadline():
+    module = Scripted(request=lambda now, arrival: [])
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask(X_Budget="60m")) == 504
+        assert sidecar.driver.idle and not sidecar.driver._requests
+
+
+@loopback
+async def test_only_the_first_final_answer_is_given():
+    module = Scripted(
+        request=lambda now, arrival: [Refuse(arrival.request, 250.0), Fail(arrival.request), Timer(0.0, "t")],
+        timer=lambda now, token: [Fail(1), Refuse(2, 0.0)],
+    )
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        answer = await app.ask()
+        assert status_of(answer) == 503
+        assert float(answer.headers["retry-after"]) == 0.25
+        assert status_of(await app.ask()) == 503
+
+
+@loopback
+async def test_a_client_that_closes_is_gone_and_its_attempt_is_still_awaited():
+    upstream = await Upstream([hang]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send(X_Budget="300m")
+        await until(lambda: upstream.seen)
+        app.close()
+        await until(lambda: module.named("client_gone"))
+        assert sidecar.driver.idle
+        await until(lambda: module.outcomes())
+        assert [last for _, _, last in module.outcomes()] == [True]
+        assert not sidecar.driver._requests
+
+
+@loopback
+async def test_past_max_open_a_request_is_answered_503_and_the_module_is_not_asked():
+    upstream = await Upstream([hang]).start()
+    module = Scripted()
+    limits = {**partners.SETTINGS["PolicyLimits"], "MaxOpen": 1}
+    async with running(upstream, balancer=module, PolicyLimits=limits) as sidecar:
+        one, two = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        one.send()
+        await until(lambda: upstream.seen)
+        assert status_of(await two.ask()) == 503
+        assert len(module.named("request")) == 1
+
+
+@loopback
+async def test_pipelined_requests_are_answered_in_their_order():
+    first = asyncio.Event()
+
+    async def wait(reader, writer):
+        await first.wait()
+        return OK.replace(b"done", b"slow")
+
+    upstream = await Upstream([wait, OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        app.send()
+        await until(lambda: len(upstream.seen) == 2)
+        first.set()
+        assert [(await app.answer()).body, (await app.answer()).body] == [b"slow", b"done"]
+
+
+# --- bad input ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "changes", "status"),
+    [
+        ("GET", "/nowhere", {"X_Call_Class": None}, 404),
+        ("GET", "/", {"X_Call_Class": None}, 404),
+        ("GET", "/nowhere", {}, 400),
+        ("GET", "/look", {"X_Call_Class": None}, 400),
+        ("GET", "/look", {"X_Call_Class": "book"}, 400),
+        ("POST", "/look", {}, 400),
+        ("GET", "/look", {"X_Call_Id": None}, 400),
+        ("GET", "/look", {"X_Call_Id": ""}, 400),
+        ("GET", "/look", {"X_Budget": None}, 400),
+        ("GET", "/look", {"X_Budget": "480"}, 400),
+        ("GET", "/look", {"X_Budget": "-3m"}, 400),
+        ("GET", "/look", {"X_Budget": "0m"}, 400),
+        ("GET", "/look", {"X_Budget": "999999999999m"}, 400),
+        ("GET", "/look", {"X_Caller": None}, 400),
+        ("GET", "/look", {"X_Caller": "nobody"}, 400),
+        ("GET", "/look", {"X_Call_Cost": "much"}, 400),
+        ("POST", "/book", {"Idempotency_Key": None}, 400),
+        ("POST", "/pay", {"Content_Length": "70000"}, 413),
+        ("GET", "/look", {"X_Long": "x" * 20_000}, 431),
+        ("GET", "/look", {"X_Long": "x" * 200_000}, 431),
+        ("GET", "/look", {"Transfer_Encoding": "chunked", "Content_Length": "5"}, 400),
+    ],
+)
+@loopback
+async def test_what_can_not_be_passed_on_is_answered_at_once(method, target, changes, status):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask(method, target, **changes)) == status
+        again = await App.connect(sidecar.address)
+        assert status_of(await again.ask()) == 200
+        assert len(upstream.seen) == 1
+
+
+@pytest.mark.parametrize(
+    "raw", [b"\x16\x03\x01\x02\x00", b"GET\r\n\r\n", b"GET /look HTTP/1.1\r\n: x\r\n\r\n"]
+)
+@loopback
+async def test_malformed_http_is_answered_400_and_closed(raw):
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(raw)
+        answer = await app.answer()
+        assert (status_of(answer), answer.headers["connection"]) == (400, "close")
+        assert await app.answer() is None
+
+
+@loopback
+async def test_a_body_in_chunks_that_grows_too_large_is_answered_413():
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send("POST", "/pay", Content_Length=None, Transfer_Encoding="chunked")
+        for _ in range(9):
+            app.writer.write(b"2000\r\n" + b"x" * 0x2000 + b"\r\n")
+        assert status_of(await app.answer()) == 413
+
+
+@loopback
+async def test_a_half_sent_request_does_not_stay_for_ever(monkeypatch):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.05)
+    module = Scripted()
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(b"POST /pay HTTP/1.1\r\nContent-Length: 5\r\n\r\nab")
+        assert status_of(await app.answer()) == 408
+        assert await app.answer() is None
+        assert module.named("request") == []
+
+
+@loopback
+async def test_a_request_that_comes_in_pieces_is_one_request():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        sock = app.writer.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        whole = partners.request("POST", "/pay", b"hello")
+        for i in range(0, len(whole), 7):
+            app.writer.write(whole[i : i + 7])
+            await asyncio.sleep(0)
+        assert (await app.answer()).body == b"done"
+        assert upstream.seen[0].body == b"hello"
+
+
+# --- limits -------------------------------------------------------------------------
+
+
+@loopback
+async def test_room_is_made_by_closing_what_is_idle_before_a_request_is_refused():
+    upstream = await Upstream([OK, hang]).start()
+    async with running(upstream) as sidecar:
+        sidecar.inbound._soft = 2
+        apps = [await App.connect(sidecar.address) for _ in range(2)]
+        assert status_of(await apps[0].ask()) == 200
+        apps[1].send()
+        await until(lambda: len(upstream.seen) == 2)
+        third = await App.connect(sidecar.address)
+        assert await apps[0].answer() is None  # closed between requests
+        third.send()
+        await until(lambda: len(upstream.seen) == 3)
+        fourth = await App.connect(sidecar.address)
+        answer = await fourth.ask()
+        assert (status_of(answer), answer.headers["connection"]) == (503, "close")
+
+
+# --- readiness and drain -----------------------------------------------------------
+
+
+@loopback
+async def test_it_is_ready_once_it_listens_and_the_known_list_was_told_first():
+    module = Scripted()
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask("GET", "/health/ready", X_Call_Class=None)) == 200
+        assert module.events[0][:2] == ("server_list", "remembered")
+
+
+@loopback
+async def test_a_drain_finishes_what_was_taken_and_closes_between_requests():
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream = await Upstream([wait]).start()
+    async with running(upstream) as sidecar:
+        busy, idle = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        busy.send()
+        await until(lambda: upstream.seen)
+        drain = asyncio.create_task(sidecar.drain())
+        assert await idle.answer() is None
+        with pytest.raises(ConnectionError):
+            await App.connect(sidecar.address)
+        release.set()
+        answer = await busy.answer()
+        assert (answer.body, answer.headers["connection"]) == (b"done", "close")
+        await drain
+        assert sidecar.inbound.empty
