Make the tests of the pool and of turning away fail without what they guard

Done: the end is now looked for with no turn of the loop between, reuse is checked by the connection itself, a cancelled attempt also runs out of time, and a client sends 4 MB past its 413.

--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import time
 
 import pytest
 
@@ -161,8 +160,10 @@
         (number,) = sidecar.driver._requests
         sidecar.driver._act(Cancel(number, 0))
         sidecar.driver._act(Cancel(number, 0))
+        # Its time runs out, too, before the outcome is told.
+        sidecar.driver._expire(sidecar.driver._requests[number].attempts[0])
         assert (await app.answer()).body == b"done"
-        assert module.outcomes() == [(0, Outcome.CANCELLED, False), (1, Outcome.OK, True)]
+        assert module.outcomes() == [(0, Outcome.TIMEOUT, False), (1, Outcome.OK, True)]
         assert [seen.connection for seen in upstream.seen] == [0, 1]
         assert not sidecar.driver._requests
 
@@ -217,14 +218,12 @@
         one.send()
         two.send()
         assert (await one.answer()).body == (await two.answer()).body == b"done"
-        newest = upstream.seen[-1].connection
-        await one.ask()
+        idle = sidecar.pool._servers["s0"].idle
+        oldest, newest = idle
         await one.ask()
-        assert {seen.connection for seen in upstream.seen[2:]} <= {newest, 1 - newest}
-        assert len({seen.connection for seen in upstream.seen[2:]}) == 1
+        assert idle == [oldest, newest]
         upstream.writers[upstream.seen[-1].connection].close()
-        idle = sidecar.pool._servers["s0"].idle
-        await until(lambda: len(idle) == 1)
+        await until(lambda: idle == [oldest])
         assert (await one.ask()).body == b"done"
         assert len(upstream.writers) == 2
 
@@ -233,15 +232,11 @@
 async def test_an_end_that_the_loop_has_not_read_yet_is_seen_before_a_write():
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
-        app = await App.connect(sidecar.address)
-        await app.ask()
+        await (await App.connect(sidecar.address)).ask()
         (connection,) = sidecar.pool._servers["s0"].idle
-        upstream.writers[0].close()
-        await until(lambda: upstream.writers[0].transport.get_extra_info("socket").fileno() < 0)
-        # A blocking wait: the loop gets no chance to hand out the end.
-        deadline = time.monotonic() + 5.0
-        while connection.fresh() and time.monotonic() < deadline:
-            time.sleep(0.001)
+        assert connection.fresh()
+        # No await from here on: the loop gets no chance to hand out the end.
+        upstream.writers[0].get_extra_info("socket").shutdown(socket.SHUT_WR)
         assert not connection.fresh()
 
 
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -120,13 +120,9 @@
 @loopback
 async def test_peers_are_known_by_their_address_and_junk_is_dropped():
     me, peer, stranger, everyone = udp(), udp(), udp(), udp()
-    address = "127.0.0.1:%d" % me.getsockname()[1]
+    address, other, broadcast = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in (me, peer, everyone))
     me.close()
-    raw = {
-        "peer_listen": address,
-        "peers": [address, "127.0.0.1:%d" % peer.getsockname()[1]],
-        "peers_all": "127.0.0.1:%d" % everyone.getsockname()[1],
-    }
+    raw = {"peer_listen": address, "peers": [address, other], "peers_all": broadcast}
     module = Scripted()
     async with running(balancer=module, raw=raw) as sidecar:
         here = (address.split(":")[0], int(address.split(":")[1]))
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -91,7 +91,7 @@
         made = cls()
         made.address = Address("127.0.0.1", free_port())
         known = listed(1, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)))
-        env = environment(tmp_path, known=known, listen="%s:%d" % made.address, **changes)
+        env = environment(tmp_path, known=known, listen=f"{made.address.host}:{made.address.port}", **changes)
         made.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", f'{limit} exec "$0" -m fordtrestle', sys.executable, env=env, cwd=ROOT
         )
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -215,6 +215,14 @@
         assert status_of(await app.answer()) == 413
 
 
+@loopback
+async def test_a_client_that_is_still_sending_can_read_why_it_is_turned_away():
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send("POST", "/pay", b"x" * 4_000_000)
+        assert status_of(await app.answer()) == 413
+
+
 @loopback
 async def test_a_half_sent_request_does_not_stay_for_ever(monkeypatch):
     monkeypatch.setattr(inbound, "HALF_SENT_S", 0.05)
