Tell refused clients when to come back: a tenth of the aim

Seen: every refusal went out without a time, so clients came back by their own back-off only; the users ask that a refusal is given at once and says when to return. Ruled out: the quarter, whose retries come too late for their aim. Lines: Balancer._give_up, which gave 0.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -98,6 +98,7 @@
 STALL = 0.5
 STALL_HELD = 8.0
 
+COME_BACK = 0.1  # of the aim: soon enough that a client's retry may still be served in time
 COLD_SHARE = 0.75  # of what topples a cold server, were all warm ones fully loaded
 RATE_MS = 10000.0  # memory of the own rate of sends
 
@@ -940,10 +941,9 @@
         """The final answer where no attempt has served."""
         if request.done or request.out:
             return
-        if self._may_refuse(request):
-            self._out.append(model.Refuse(request.id, 0.0))
-        else:
-            self._out.append(model.Fail(request.id))
+        wait = min(COME_BACK * request.profile.objective, self._set.max_retry_after * self._set.retry_after)
+        refuse = self._may_refuse(request)
+        self._out.append(model.Refuse(request.id, wait) if refuse else model.Fail(request.id))
         self._close(request)
         self._forget(now, request)
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -286,3 +286,16 @@
         assert due.delay == 200.0 and not made.timer(200.0, due.token)
     assert made._shed.level(200.0) > 0.1
     assert not made.timer(200.0, "due:999:0")
+
+
+@pytest.mark.parametrize(
+    ("limits", "wait"),
+    [
+        ({"RetryAfter": True, "MaxRetryAfter": 2000.0}, 20.0),
+        ({"RetryAfter": True, "MaxRetryAfter": 5.0}, 5.0),
+        ({"RetryAfter": False, "MaxRetryAfter": 2000.0}, 0.0),
+    ],
+)
+def test_a_refusal_is_given_at_once_and_tells_when_to_come_back(limits, wait):
+    made = balancer("safe", servers=0, PolicyLimits={"MaxAttempts": 3, **limits})
+    assert made.request(0.0, arrival(1)) == [Refuse(1, wait)]
