Close idle connections to a server that has restarted, and answer a watch that brings nothing new

Seen in review: a machine that vanished resets nothing, so after its restart the pool would have written to connections from before it, a reset at best and for an unsafe class the end. And where discovery is asked, a watch whose first line holds the version already held told the module nothing. Checked: each new test fails with its mend taken out; also that repeated news of a drain does not prolong the grace. Lines to blame: Pool.update, which did not look at since_ms, and Discovery._changed, which compared with > where the held version answers a call.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -217,9 +217,10 @@
             raise ValueError(f"not a list: {error}") from error
         if news.whole:
             self._tell("all", news)
-        elif news.version > self._version:
+        elif news.version >= self._version:
+            # The version held may come again, with no entries: it answers who asked for a watch.
             self._tell("changes", news)
-        # Changes up to the version held were told already: by a list asked for meanwhile.
+        # Older changes were told already: by a list asked for meanwhile.
 
     def _tell(self, form: str, news: ServerList) -> None:
         self._version = news.version
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from fordtrestle.config import Address, Config, ServerList
+from fordtrestle.config import Config, ServerList
 from poppypulley import Balancer, model
 from poppypulley.model import Outcome
 
@@ -84,7 +84,7 @@
     def probe(self, server: str, done: Callable[[Result], None]) -> Exchange:
         """Begin a probe, likewise."""
 
-    def update(self, now: float, whole: bool, states: dict[str, str], addresses: dict[str, Address]) -> None:
+    def update(self, now: float, whole: bool, news: ServerList) -> None:
         """What discovery said of the servers."""
 
     def close_idle(self, server: str) -> None:
@@ -204,8 +204,7 @@
         if news is None:
             self._ask(None, self._balancer.server_list, form, ())
             return
-        states = {entry.server: entry.state for entry in news.entries}
-        self._upstreams.update(self._clock.now(), form != "changes", states, news.addresses)
+        self._upstreams.update(self._clock.now(), form != "changes", news)
         self._ask(None, self._balancer.server_list, form, news.entries)
 
     def peer_message(self, peer: int, data: bytes) -> None:
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 
 from fordtrestle import framing
-from fordtrestle.config import Address, Config
+from fordtrestle.config import Address, Config, ServerList
 from fordtrestle.driver import Answer, Clock, Result
-from poppypulley.model import Outcome
+from poppypulley.model import Listing, Outcome
 
 # A server closes what has stood idle for the time in the settings at the latest, as it counts:
 # what we write must be there before. A tenth covers transit, lag and the sweep.
@@ -78,7 +78,7 @@
 
     name: str
     address: Address
-    state: str = "active"
+    started: float = 0.0
     closed_from: float = math.inf  # nothing is first written to it from then on
     idle: list[Connection] = field(default_factory=list)  # newest last
 
@@ -202,25 +202,38 @@
         head = PROBE_HEAD % (self._probe_target, host)
         return self._begin(server, Exchange(lambda left: head, math.inf, done, probe=True))
 
-    def update(self, now: float, whole: bool, states: dict[str, str], addresses: dict[str, Address]) -> None:
-        """Take in states and addresses; the grace of a server that leaves runs from `now`."""
-        for name, address in addresses.items():
-            known = self._servers.get(name)
-            if known is None:
-                self._servers[name] = Server(name, address)
-            elif known.address != address:
-                self.close_idle(name)
-                known.address = address
-        for name, server in list(self._servers.items()):
-            state = states.get(name, "left" if whole else server.state)
-            if state == "active":
-                server.closed_from = math.inf
-            elif server.state == "active" or server.closed_from == math.inf:
-                server.closed_from = now + self._grace
-            server.state = state
-            if state == "left":
-                self.close_idle(name)
-                del self._servers[name]
+    def update(self, now: float, whole: bool, news: ServerList) -> None:
+        """Take in what discovery said; the grace of a server that leaves runs from `now`."""
+        named = set()
+        for entry in news.entries:
+            named.add(entry.server)
+            self._note(now, entry, news.addresses.get(entry.server))
+        if whole:
+            for name in [name for name in self._servers if name not in named]:
+                self._leave(now, name, "left")
+
+    def _note(self, now: float, entry: Listing, address: Address | None) -> None:
+        known = self._servers.get(entry.server)
+        if known is None:
+            if address is None:
+                return
+            known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
+        if (address or known.address, entry.started) != (known.address, known.started):
+            # Guards against writing to what stood before a restart: a reset at best.
+            self.close_idle(known.name)
+            known.address, known.started = address or known.address, entry.started
+        if entry.state == "active":
+            known.closed_from = math.inf
+        else:
+            self._leave(now, known.name, entry.state)
+
+    def _leave(self, now: float, name: str, state: str) -> None:
+        """A server drains or is gone: repeated news does not prolong the grace."""
+        server = self._servers[name]
+        server.closed_from = min(server.closed_from, now + self._grace)
+        if state == "left":
+            self.close_idle(name)
+            del self._servers[name]
 
     def close_idle(self, server: str) -> None:
         """Close a server's idle connections, and only those."""
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -8,10 +8,23 @@
 import pytest
 
 from fordtrestle import outbound
-from fordtrestle.config import Address
+from fordtrestle.config import parse_list
 from fordtrestle.driver import Clock
 from poppypulley.model import Cancel, CloseIdle, Fail, Outcome, Probe, Refuse, Send
-from tests.loopback import OK, App, Scripted, Upstream, break_off, hang, loopback, running, told, until
+from tests.loopback import (
+    OK,
+    App,
+    Scripted,
+    Upstream,
+    break_off,
+    entry,
+    hang,
+    listed,
+    loopback,
+    running,
+    told,
+    until,
+)
 
 ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
@@ -86,11 +99,14 @@
         assert module.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
 
 
+def news(*entries):
+    return parse_list(listed(42, *entries, snapshot=False), told().names)
+
+
 def pooled(upstream):
     loop = asyncio.get_running_loop()
     pool = outbound.Pool(loop, Clock(loop), told([upstream]))
-    name, port = upstream.address.split(":")
-    pool.update(0.0, True, {"s0": "active"}, {"s0": Address(name, int(port))})
+    pool.update(0.0, True, news(entry("s0", upstream.address)))
     return pool
 
 
@@ -311,11 +327,12 @@
 async def test_nothing_is_first_written_past_the_grace_even_if_it_connects_already(state):
     upstream = await Upstream([OK]).start()
     module = Scripted(outcome=failing)
+    leaving = news(entry("s0", upstream.address, status=state))
     async with running(upstream, balancer=module, Rules={"StopSendingWithin": 0.0}) as sidecar:
 
         def send_then_hear(now, arrival):
             # The news comes while the attempt waits for its connection.
-            asyncio.get_running_loop().call_soon(sidecar.pool.update, now, False, {"s0": state}, {})
+            asyncio.get_running_loop().call_soon(sidecar.pool.update, now, False, leaving)
             return [Send(arrival.request, "s0", 0.0)]
 
         module.scripts["request"] = send_then_hear
@@ -330,10 +347,34 @@
     upstream = await Upstream([OK]).start()
     async with running(upstream, balancer=Scripted(), Rules={"StopSendingWithin": 60_000.0}) as sidecar:
         app = await App.connect(sidecar.address)
-        sidecar.pool.update(sidecar.driver._clock.now(), False, {"s0": "leaving"}, {})
+        leaving = news(entry("s0", upstream.address, status="leaving"))
+        sidecar.pool.update(sidecar.driver._clock.now(), False, leaving)
         assert (await app.ask()).body == b"done"
 
 
+@loopback
+async def test_repeated_news_does_not_prolong_the_grace():
+    upstream = await Upstream([OK]).start()
+    pool = pooled(upstream)
+    leaving = news(entry("s0", upstream.address, status="leaving"))
+    pool.update(1000.0, False, leaving)
+    pool.update(1400.0, False, leaving)
+    assert 1000.0 < pool._servers["s0"].closed_from <= 1500.0
+    upstream.stop()
+
+
+@loopback
+async def test_connections_from_before_a_restart_are_not_used_again():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        # A machine that vanished reset nothing: its connections look open until they are used.
+        sidecar.pool.update(0.0, False, news(entry("s0", upstream.address, since_ms=1_790_000_000_000)))
+        await app.ask()
+        assert [seen.connection for seen in upstream.seen] == [0, 1]
+
+
 # --- reports and probes --------------------------------------------------------------
 
 
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -58,15 +58,16 @@
 
 
 @loopback
-async def test_changes_up_to_the_version_held_are_not_told_again():
+async def test_older_changes_are_not_told_again_and_the_version_held_answers_a_watch():
     registry = await Registry().start()
     module = Scripted()
     async with running(balancer=module, registry=registry):
         await until(lambda: registry.watches)
-        registry.tell(41, entry("old"))
+        registry.tell(41)
+        registry.tell(40, entry("old"))
         registry.tell(42, entry("new"))
-        await until(lambda: len(told_of(module)) == 2)
-        assert told_of(module)[1] == ("changes", ["new"])
+        await until(lambda: len(told_of(module)) == 3)
+        assert told_of(module)[1:] == [("changes", []), ("changes", ["new"])]
 
 
 @pytest.mark.parametrize("how", ["ended", "garbage", "silent"])
