Parse one answer and no more, and end spoilt ones at their head

A trace of the bytes showed 77 good answers with a second copy or 52 bytes of noise in the same segment, about 350 spoilt ones, and nothing on the wire (no header, no part of the body) that names the request an answer belongs to: only the order on its connection does. To blame: AnswerParser.on_header and on_body, which went on after `complete`, so a second copy was appended to the first answer's headers and body; trailers likewise. Checked by probe: httptools refuses doubled, signed and overflowing lengths, a length with Transfer-Encoding, bare LF and folding, but parses pipelined answers and trailers silently. Ruled out: reuse of a connection (no byte came later than its own answer in this trace); it is closed off all the same: a connection carries nothing for 3 ms after an answer. Also: an announced length past the limit ends the attempt at its head, interim answers are bounded, an answer without a length is not whole, absurd load figures are dropped, and a spoilt answer is an error (it has run) rather than a reset, which the module would take for a stale connection. Not solved: a single length that is too short can't be told from noise behind a good answer.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -73,7 +73,7 @@
 
 
 class BadAnswer(Exception):
-    """What came is not HTTP, or is larger than allowed."""
+    """What came is not HTTP, is cut short, or is larger than allowed."""
 
 
 class AnswerParser:
@@ -86,13 +86,16 @@
 
     def reset(self) -> None:
         """Make ready for the next answer."""
-        self.status = 0
-        self.headers: Headers = []
+        self._head = 0  # of interim answers, too: they may not go on for ever
         self.body = bytearray()
         self.complete = False
         self.keep_alive = False
-        self._framed = False
-        self._head = 0
+        self._next_head()
+
+    def _next_head(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self._head_done = False
 
     def feed(self, data: bytes) -> None:
         """Take in bytes; `BadAnswer` if they are none of HTTP's."""
@@ -102,31 +105,43 @@
             if not self.complete:
                 raise BadAnswer(str(error)) from error
             self.extra = True
-        if not self.status:
-            self._head += len(data)
-            if self._head > MAX_HEAD:
-                raise BadAnswer("the head is too large")
-
-    def end(self) -> bool:
-        """The other side has ended its sending: whether that completes an answer without a length."""
-        return self.complete or (self.status >= 200 and not self._framed)
+        if not self._head_done:
+            self._count(len(data))
 
     def header(self, name: bytes) -> bytes | None:
         """A header's first value."""
         return next((value for key, value in self.headers if key.lower() == name), None)
 
+    def _count(self, size: int) -> None:
+        self._head += size
+        if self._head > MAX_HEAD:
+            raise BadAnswer("the head is too large")
+
     def on_message_begin(self) -> None:
-        """Called by the parser."""
-        self.extra = self.extra or self.complete
+        """Called by the parser. Guards against a second answer in the same bytes, which would
+        go on into the headers, the status and the body of the first: nothing more is parsed."""
+        if self.complete:
+            raise BadAnswer("more than one answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        self.headers.append((name, value))
-        self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
+        """Called by the parser; trailers are counted and dropped, since the head was judged without."""
+        self._count(len(name) + len(value))
+        if not self._head_done:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Called by the parser."""
+        """Called by the parser. Guards against lengths that can't be taken in: such an answer ends
+        at its head, not after 64 KiB of it; and one that only its end would bound may be cut short."""
         self.status = self._parser.get_status_code()
+        if self.status < 200:
+            return
+        self._head_done = True
+        length = self.header(b"content-length")
+        if length is not None:
+            if int(length) > MAX_BODY:
+                raise BadAnswer("the body is too large")
+        elif self.status not in (204, 304) and self.header(b"transfer-encoding") is None:
+            raise BadAnswer("the body has no length")
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser; what is too large ends the parse."""
@@ -137,7 +152,7 @@
     def on_message_complete(self) -> None:
         """Called by the parser; an interim answer (1xx) is passed over."""
         if self.status < 200:
-            self.reset()
+            self._next_head()
             return
         self.complete = True
         self.keep_alive = self._parser.should_keep_alive()
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -23,7 +23,11 @@
 SWEEP_MS = 200.0
 # A send that is begun so close to the end of the grace might be seen past it.
 GRACE_MARGIN_MS = 50.0
+# Nothing on the wire ties an answer to its request but the order on its connection: one is used
+# again only once no second copy and no noise has come right behind the last answer.
+SETTLE_MS = 3.0
 POOL_SHARE = 0.5  # of the descriptors that this process may hold
+FIGURE_MOST = 1e9  # of a load report
 
 NOT_FOR_CLIENTS = frozenset((b"x-load-report", b"x-rejected"))
 PROBE_HEAD = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
@@ -136,22 +140,22 @@
         try:
             self._parser.feed(data)
         except framing.BadAnswer:
-            self._break()
+            # Not a reset: the server is done with it and answered, so it may have run, however
+            # much of the request is still to be written.
+            self._break(Outcome.ERROR)
             return
         if self._parser.complete:
             self._answered(self._parser.keep_alive and not self._parser.extra and self._written)
 
     def eof_received(self) -> bool:
-        """The server has ended its sending; that may complete an answer."""
-        if self._exchange is not None and self._parser.end():
-            self._answered(False)
+        """The server has ended its sending: what is not whole by now never will be."""
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is gone."""
         self.lost = True
         self._pool.lost(self)
-        self._break()
+        self._break(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
 
     def _answered(self, reusable: bool) -> None:
         exchange, self._exchange = self._exchange, None
@@ -164,12 +168,12 @@
             self._transport.abort()
         exchange.end(result)
 
-    def _break(self) -> None:
-        """The exchange can't be finished on this connection: has it been written whole?"""
+    def _break(self, outcome: Outcome) -> None:
+        """The exchange can't be finished on this connection."""
         exchange, self._exchange = self._exchange, None
         self._transport.abort()
         if exchange is not None:
-            exchange.end(Result(Outcome.RESET if self._written else Outcome.CONNECT_FAILED))
+            exchange.end(Result(outcome))
 
 
 class Pool:
@@ -287,9 +291,12 @@
             name, _, value = pair.strip().partition("=")
             if name in self._fields:
                 try:
-                    report[name] = float(value)
+                    figure = float(value)
                 except ValueError:
                     continue
+                # Guards against figures that no server can hold: they would stick in every mean.
+                if 0.0 <= figure <= FIGURE_MOST:
+                    report[name] = figure
         return report or None
 
     # --- connections ------------------------------------------------------------
@@ -299,13 +306,21 @@
         if server is None:
             self._loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return exchange
+        now = self._clock.now()
+        settling: list[Connection] = []
         while server.idle:
             connection = server.idle.pop()
+            idle = now - connection.idle_since
+            if idle < SETTLE_MS:
+                settling.append(connection)
+                continue
             # Guards against a request on a connection that the server is closing: a reset.
-            if self._clock.now() - connection.idle_since < self._idle_most and connection.fresh():
+            if idle < self._idle_most and connection.fresh():
+                server.idle += reversed(settling)
                 self._write(connection, exchange)
                 return exchange
             connection.abort()
+        server.idle += reversed(settling)
         self._open(server, exchange)
         return exchange
 
