Scale strain, health and the window by the rate of sends

Cause: figures that count outcomes. Shed.strain added 0.05 for each attempt past its aim, so 2% late answers at 250 a second hold the level at its top; ILL_MEMORY weighs three outcomes, so one fault in forty a second ejected a server for 2 s; WINDOW_SAMPLES spanned a quarter of a second. Now the level stands for a share of outcomes (14 a second is where its gain was set), a server's share of faults is of half a second of its outcomes, and the window keeps at least 4 s. At the site's usual rate nothing changes.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -27,12 +27,14 @@
 # The throttle. Two minutes of memory would outlast every overload: evidence ages sooner.
 WINDOW_MS = 10000.0
 WINDOW_SAMPLES = 60
+WINDOW_LEAST_MS = 4000.0  # a busy sidecar keeps more samples: sixty may span a fifth of a second
 K = 2.0
 PROTECTION = 3.0
 LATE_ACCEPT = 0.5  # an answer past its aim shows a service that is falling behind
 
 # Shedding: under strain the least worth per work is refused first. The level leaks.
-SHED_GAIN = 0.1  # per outcome turned away
+SHED_GAIN = 0.1  # per outcome turned away, at the usual rate of sends
+USUAL_RATE = 0.014  # sends a millisecond at which gains per outcome were set
 DUE_STRAIN = 0.5  # an attempt past its aim counts half, and the rest if it ends unanswered
 STOOD_STILL_MS = 100.0  # a timer later than this shows a stall of one's own; a tick is far less
 SHED_LEAK_MS = 5000.0
@@ -87,7 +89,8 @@
 WORK_MEMORY = 0.05  # weight of the newest cost hint in the mean
 
 # A fault is held to be the server's own where its faults exceed the service's this far.
-ILL_MEMORY = 0.7
+ILL_MEMORY = 0.7  # where outcomes are few
+ILL_MS = 500.0  # where they are many the share is of so long: one fault in twenty tells nothing
 ILL_OVER = 1.5  # times the service's share of faults
 ILL_LEAST = 0.1
 ILL_HELD = 8.0  # what a server that fails always counts as held: breaks ties at none in flight
@@ -154,7 +157,11 @@
 
     def trim(self, now: float) -> None:
         entries = self._entries
-        while entries and (len(entries) > self._samples or entries[0][0] <= now - self._age):
+        many = now - WINDOW_LEAST_MS
+        while entries:
+            at = entries[0][0]
+            if at > now - self._age and (len(entries) <= self._samples or at > many):
+                break
             self.accepts -= entries.popleft()[1]
             self.requests -= 1
 
@@ -200,9 +207,12 @@
         entry[1] += value * (work if self._by_work else 1.0)
         return over
 
-    def strain(self, now: float, turned: float) -> None:
-        """Learn from an outcome: 1 turned away, 0 served in time."""
-        self._level = min(1.0, self.level(now) + SHED_GAIN * turned)
+    def strain(self, now: float, turned: float, rate: float) -> None:
+        """Learn from an outcome: 1 turned away, 0 served in time.
+
+        The level stands for a share of outcomes, whatever the rate: guards against a busy sidecar
+        that sheds for the many outcomes it has, of which the usual few are late."""
+        self._level = min(1.0, self.level(now) + SHED_GAIN * turned * min(1.0, USUAL_RATE / rate))
         self._at = now
 
     def level(self, now: float) -> float:
@@ -692,15 +702,18 @@
         warmth = self._warmth(now, server)
         if warmth >= 1.0:
             return True
-        known = RATE_MS * (1.0 - math.exp((self._born - now - 1.0) / RATE_MS))
-        rate = self._sends * math.exp((self._sends_at - now) / RATE_MS) / known
         part = warmth * min(SPEED_MOST, server.kind_pace.speed) / self._most_servers
-        share = rate * part * self._set.fall_multiple * COLD_SHARE
+        share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
         gained = share * (now - server.budget_at)
         server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
         server.budget_at = now
         return server.budget >= 1.0
 
+    def _rate(self, now: float) -> float:
+        """The own rate of sends of late, per millisecond."""
+        known = RATE_MS * (1.0 - math.exp((self._born - now - 1.0) / RATE_MS))
+        return self._sends * math.exp((self._sends_at - now) / RATE_MS) / known
+
     # --- health -----------------------------------------------------------
 
     def _fit(self, now: float, server: Server) -> bool:
@@ -715,7 +728,7 @@
         window = self._throttle
         if status in (OK, FULL, TIMEOUT):
             late = spent > request.profile.objective
-            self._shed.strain(now, self._strain(server, status, now))
+            self._shed.strain(now, self._strain(server, status, now), self._rate(now))
             least = 0.0 if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
         if self._zoned and status != MOOT and status != CANCELLED:
@@ -729,7 +742,7 @@
             taken = min(1.0, spent / request.profile.objective)
             self._slowness += (1.0 - SLOW_MEMORY) * (taken - self._slowness)
             server.strikes = server.fulls = 0
-            server.ill *= ILL_MEMORY
+            server.ill *= 1.0 - self._ill_gain(now)
             late = spent > request.profile.objective
             window.add(now, LATE_ACCEPT if late else 1.0)
         elif status == FULL:
@@ -759,12 +772,17 @@
 
     def _blame(self, now: float, server: Server, silent: bool) -> None:
         """Count a fault; a server at fault far more than the service is ejected."""
-        server.ill += (1.0 - ILL_MEMORY) * (1.0 - server.ill)
+        server.ill += self._ill_gain(now) * (1.0 - server.ill)
         if server.ill > ILL_LEAST + ILL_OVER * self._throttle.missed():
             self._strike(now, server)
             if silent and server.strikes > 1:
                 self._silent_at = now
 
+    def _ill_gain(self, now: float) -> float:
+        """Weight of a server's newest outcome in its share of faults."""
+        outcomes = self._rate(now) * ILL_MS / self._most_servers
+        return min(1.0 - ILL_MEMORY, 1.0 / max(1.0, outcomes))
+
     def _hear(self, now: float, server: Server, report: Mapping[str, float]) -> None:
         """Take in what an answer reports; what is not a number is not believed."""
         waiting = report.get("queue", math.nan) + BUSY_HELD * report.get("util", 0.0)
@@ -783,7 +801,7 @@
             return
         if now - attempt.sent - request.profile.objective > STOOD_STILL_MS:
             return  # this sidecar stood still itself: its gap tells nothing of the servers
-        self._shed.strain(now, DUE_STRAIN)
+        self._shed.strain(now, DUE_STRAIN, self._rate(now))
         if self._slowness < SLOW:
             self._blame(now, attempt.server, True)
 
