Judge requests at their head, take each identity once, and shed who never asks

The trace showed ids of others' open requests, lengths with chunks, 60 MB bodies, half heads, and some 950 connections that never sent a whole request. Checked by probe: httptools refuses doubled, signed and empty lengths, a length with chunks, bare LF and folding, but takes HTTP/2.0, `gzip, chunked`, other fields twice, and trailers as fields. To blame: Exchange.read only after the body; a dict of fields in which the last wins while all were sent on; no record of open identities; HALF_SENT_S 10 and none for silence; a poll of every connection at the cap; 2048 accepts a turn. Now: one head of known fields, each once; 409 for an identity of which anything is still open; an error or a close by 2.4 s; what is turned away waits 1.5 s at most, unreadable bytes not at all; room is made by who never asked, then by who rests, found without a walk; 16 accepts a turn; a client that doesn't read is not read. Connections to servers are held from their first moment, any failure to connect ends its attempt, and a new id at an old address ends the old one.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -65,6 +65,9 @@
     def failed(self, late: bool) -> None:
         """The final answer: failed."""
 
+    def over(self) -> None:
+        """Answered or given up, and no attempt is out: nothing of it can come any more."""
+
 
 class Exchange(Protocol):
     """One attempt or probe on its way."""
@@ -369,8 +372,8 @@
         return True
 
     def _forget(self, request: Request) -> None:
-        if request.ended and request.out == 0:
-            self._requests.pop(request.id, None)
+        if request.ended and request.out == 0 and self._requests.pop(request.id, None) is not None:
+            request.call.over()
 
 
 def log(text: str) -> None:
--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -108,6 +108,10 @@
         if not self._head_done:
             self._count(len(data))
 
+    def close(self) -> None:
+        """No more comes; the parser refers back: without it the memory is free at once."""
+        del self._parser
+
     def header(self, name: bytes) -> bytes | None:
         """A header's first value."""
         return next((value for key, value in self.headers if key.lower() == name), None)
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import re
+import socket
 from collections import deque
 from typing import Protocol
 
@@ -15,15 +16,38 @@
 from fordtrestle.driver import Answer, Clock, Request
 
 READY_PATH = "/health/ready"
-BACKLOG = 2048
-SHARE = 0.4  # of the descriptors: past it idle connections are closed, then requests refused
-HARD_SHARE = 0.47  # past this a connection is closed unread
+BACKLOG = 1024
+# Connections accepted in one turn of the loop. Guards against a flood that takes every descriptor
+# before the first is closed: closing needs the loop's next turn.
+ACCEPTS_A_TURN = 16
+SHARE = 0.44  # of the descriptors: past it connections that ask nothing are closed for new ones
+LOOKED_AT_MOST = 8  # connections looked at to make room for one
 PIPELINED_MOST = 16
-HALF_SENT_S = 10.0  # for the rest of a request whose first byte has come
+# An error or a close is owed within 3 s of connecting; healthy connections rest for 2 s and more.
+HALF_SENT_S = 2.0  # for the rest of a request whose first byte has come
+FIRST_S = 2.4  # from connecting to the first whole request
+OWED_S = 1.5  # a request that is turned away waits so long for those before it
+SWEEP_S = 0.2
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
-NOT_FOR_SERVERS = frozenset((b"x-budget",))
+IDENTITY = re.compile(r"[!-~]{1,128}")
+TARGET = re.compile(rb"/[!-~]*")
+# Each at most once: guards against a head of which we judge one field and a server reads another.
+CONTROL = (
+    "host",
+    "x-call-id",
+    "x-call-class",
+    "x-caller",
+    "cookie",
+    "x-again",
+    "x-call-cost",
+    "x-call-info",
+    "idempotency-key",
+)
+OWN = frozenset(("x-budget", "content-length", "transfer-encoding"))  # written anew for each side
+ONCE = OWN | frozenset(CONTROL)
+PASSED_ON = frozenset(("content-type", "accept", "authorization", "traceparent", "tracestate"))
 
 
 class BadRequest(Exception):
@@ -38,7 +62,7 @@
     """What requests are given to."""
 
     def arrive(self, call: Exchange, now: float) -> Request | None:
-        """Take a request; it gets one final answer."""
+        """Take a request; it gets one final answer, and `over` once no attempt is out."""
 
     def client_gone(self, request: Request) -> None:
         """Its client has closed the connection."""
@@ -47,9 +71,9 @@
 class Exchange:
     """One request on a connection, and its answer once there is one."""
 
-    def __init__(self, connection: Connection, keep_alive: bool) -> None:
+    def __init__(self, connection: Connection) -> None:
         self.connection = connection
-        self.keep_alive = keep_alive
+        self.keep_alive = True
         self.request: Request | None = None
         self.answer: tuple[int, framing.Headers, bytes] | None = None
         self.band = self.tenant = 0
@@ -57,16 +81,18 @@
         self.work: float | None = None
         self.again = self.mutates = False
         self.budget = 0.0
+        self.call_id = ""
         self._head = b""
         self._body = b""
 
     def read(self, message: Message, names: Names) -> None:
-        """Take in a request for servers; `BadRequest` says what is wrong with it."""
+        """Take in the head of a request for servers; `BadRequest` says what is wrong with it."""
         kind = _class_of(message, names)
         self.band = kind.band
         self.budget = _budget(message.needed("x-budget"))
-        if not 0 < len(message.needed("x-call-id")) <= 128:
-            raise BadRequest(400, "X-Call-Id: empty or too long")
+        self.call_id = message.needed("x-call-id")
+        if IDENTITY.fullmatch(self.call_id) is None:
+            raise BadRequest(400, "X-Call-Id: not an identity")
         if names.tenants:
             tenant = names.tenants.get(message.needed("x-caller"))
             if tenant is None:
@@ -78,18 +104,19 @@
         self.work = None if cost is None else _cost(cost)
         self.again = message.text("x-again") == "1"
         self.mutates = "Mutates=1" in (message.text("x-call-info") or "").split(",")
-        self._body = bytes(message.body)
-        headers = framing.end_to_end(message.headers, NOT_FOR_SERVERS)
-        # Guards against a body without a length, which a server would read as the next request.
-        bare = message.method == "GET" and not self._body
-        length = b"" if bare else b"Content-Length: %d\r\n" % len(self._body)
-        self._head = b"%b %b HTTP/1.1\r\n%b%b" % (
+        self._head = b"%b %b HTTP/1.1\r\n%b" % (
             message.method.encode(),
             message.target,
-            framing.lines(headers),
-            length,
+            framing.lines(message.passed_on()),
         )
 
+    def whole(self, message: Message) -> None:
+        """Take in the body."""
+        self._body = bytes(message.body)
+        # Guards against a body without a length, which a server would read as the next request.
+        if message.method != "GET" or self._body:
+            self._head += b"Content-Length: %d\r\n" % len(self._body)
+
     def wire(self, left: float) -> bytes:
         """The request for a server that has `left` milliseconds."""
         return b"%bX-Budget: %du\r\n\r\n%b" % (self._head, max(0.0, left) * 1000.0, self._body)
@@ -107,6 +134,11 @@
         """The final answer: failed."""
         self._finish(504 if late else 502, [], b"")
 
+    def over(self) -> None:
+        """No attempt is out any more: its identity may come again."""
+        self.request = None
+        self.connection.over(self)
+
     def _finish(self, status: int, headers: framing.Headers, body: bytes) -> None:
         if self.answer is None:
             self.answer = (status, headers, body)
@@ -121,15 +153,34 @@
         self.target = b""
         self.headers: framing.Headers = []
         self.body = bytearray()
-        self.head_done = False
+        self.exchange: Exchange | None = None  # once the head is read
         self._texts: dict[str, str] = {}
 
+    def end_head(self) -> None:
+        """The head is whole: index its fields, and reject what can be read in two ways."""
+        for key, value in self.headers:
+            name = key.decode("latin-1").lower()
+            if name in ONCE and name in self._texts:
+                raise BadRequest(400, f"{name}: more than once")
+            self._texts[name] = value.decode("latin-1")
+        if self.text("transfer-encoding") not in (None, "chunked"):
+            raise BadRequest(501, "Transfer-Encoding: only chunked")
+        if int(self.text("content-length") or 0) > framing.MAX_BODY:
+            raise BadRequest(413, "body too large")
+        if TARGET.fullmatch(self.target) is None:
+            raise BadRequest(404, "no such path")
+
+    def passed_on(self) -> framing.Headers:
+        """The known fields, and no others: what a server reads is what was judged here."""
+        control = [
+            (name.encode(), value.encode("latin-1"))
+            for name in CONTROL
+            if (value := self._texts.get(name)) is not None
+        ]
+        return control + [field for field in self.headers if field[0].decode("latin-1").lower() in PASSED_ON]
+
     def text(self, name: str) -> str | None:
         """A header's value, if it is there."""
-        if not self._texts:
-            self._texts = {
-                key.decode("latin-1").lower(): value.decode("latin-1") for key, value in self.headers
-            }
         return self._texts.get(name)
 
     def needed(self, name: str) -> str:
@@ -153,8 +204,8 @@
         raise BadRequest(400, "X-Call-Class: not the first part of the path")
     if message.method != kind.method:
         raise BadRequest(400, f"the class asks for {kind.method}")
-    if kind.keyed and not message.needed("idempotency-key"):
-        raise BadRequest(400, "Idempotency-Key: empty")
+    if kind.keyed and IDENTITY.fullmatch(message.needed("idempotency-key")) is None:
+        raise BadRequest(400, "Idempotency-Key: not a key")
     return kind
 
 
@@ -197,10 +248,10 @@
         self._message: Message | None = None
         self._head_bytes = 0
         self._read_at = 0.0
-        self._half_sent: asyncio.TimerHandle | None = None
+        self._clock: asyncio.TimerHandle | None = None
         self._deaf = False  # nothing more is read as a request
         self._lost = False
-        self.idle_since = 0.0
+        self.opened_at = 0.0
 
     @property
     def idle(self) -> bool:
@@ -217,6 +268,17 @@
         """Close it whatever it holds."""
         self._transport.abort()
 
+    def first_is_overdue(self) -> None:
+        """It has not sent a whole request for longer than any healthy client takes."""
+        if self._message is not None:
+            self._turn_away(408)
+        elif not self._waiting and not self._deaf:
+            self.close()
+
+    def over(self, exchange: Exchange) -> None:
+        """Nothing of a request is out any more."""
+        self._inbound.over(exchange)
+
     # --- called by the loop -------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -236,9 +298,13 @@
             self._turn_away(400)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            self._turn_away(cause.status if isinstance(cause, BadRequest) else 400)
+            if isinstance(cause, BadRequest):
+                self._turn_away(cause.status, str(cause))
+            else:
+                self._turn_away(400)
         except httptools.HttpParserError:
             self._turn_away(400)
+            self._fail_waiting()  # what can't be read waits for nothing
         else:
             self._bound_unfinished(len(data))
 
@@ -246,13 +312,23 @@
         """The client has closed: it is gone, and what is not answered is not awaited."""
         return False
 
+    def pause_writing(self) -> None:
+        """The client does not read its answers: it is not read from until it does."""
+        self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """It does again."""
+        self._transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is closed."""
         self._lost = True
         self._stop_clock()
         self._inbound.closed(self)
+        del self._parser  # it refers back: without it the memory is free at once
         waiting = list(self._waiting)
         self._waiting.clear()
+        self._message = None
         for exchange in waiting:
             if exchange.request is not None:
                 self._inbound.taker.client_gone(exchange.request)
@@ -263,32 +339,41 @@
         """Called by the parser."""
         self._message = Message()
         self._head_bytes = 0
+        self._inbound.busy(self)
 
     def on_url(self, target: bytes) -> None:
         """Called by the parser, once or in parts."""
         if self._message is not None:
             self._message.target += target
+            self._count(len(target))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
+        """Called by the parser; trailers are counted and dropped, since the head was judged without."""
         message = self._message
         if message is None:
             return
-        message.headers.append((name, value))
-        self._head_bytes += len(name) + len(value)
+        self._count(len(name) + len(value))
+        if message.exchange is None:
+            message.headers.append((name, value))
+
+    def _count(self, size: int) -> None:
+        self._head_bytes += size
         if self._head_bytes > framing.MAX_HEAD:
             raise BadRequest(431, "headers too large")
 
     def on_headers_complete(self) -> None:
-        """Called by the parser."""
+        """Called by the parser. The head is judged before its body has come: who sends 60 MB, or
+        half a request, is told at once."""
         message = self._message
         if message is None:
             return
-        message.head_done = True
         message.method = self._parser.get_method().decode("latin-1")
-        length = message.text("content-length")
-        if length is not None and length.isdigit() and int(length) > framing.MAX_BODY:
-            raise BadRequest(413, "body too large")
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(505, "only HTTP/1.1")
+        message.end_head()
+        message.exchange = exchange = Exchange(self)
+        if message.target.partition(b"?")[0] != READY_PATH.encode():
+            self._inbound.read(exchange, message)
         if (message.text("expect") or "").lower() == "100-continue" and not self._waiting:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -302,15 +387,17 @@
     def on_message_complete(self) -> None:
         """Called by the parser: the last byte of a request has been read."""
         message, self._message = self._message, None
-        if message is None or self._deaf:
+        if message is None or message.exchange is None or self._deaf:
             return
         self._stop_clock()
-        exchange = Exchange(self, self._parser.should_keep_alive())
+        exchange = message.exchange
+        exchange.keep_alive = self._parser.should_keep_alive()
         self._waiting.append(exchange)
         if len(self._waiting) > PIPELINED_MOST:
             exchange.keep_alive = False
             self._deaf = True
         self._inbound.serve(exchange, message, self._read_at)
+        self.flush()
 
     # --- answers ------------------------------------------------------------
 
@@ -327,16 +414,30 @@
             if last:
                 self._linger()
                 return
-            self.idle_since = self._read_at
-
-    def _turn_away(self, status: int) -> None:
-        """Answer what can't be read on from; requests before it are answered first."""
-        exchange = Exchange(self, keep_alive=False)
+            if not self._waiting and self._message is None:
+                self._inbound.rests(self)
+
+    def _turn_away(self, status: int, text: str = "") -> None:
+        """Answer what can't be read on from; requests before it are answered first, for a while."""
+        exchange = Exchange(self)
+        exchange.keep_alive = False
+        head_only = self._message is not None and self._message.method == "HEAD"
         self._message = None
         self._deaf = True
+        self._stop_clock()
         self._waiting.append(exchange)
-        exchange.answer = (status, [], b"")
+        exchange.answer = (status, [], f"{text}\n".encode("latin-1") if text and not head_only else b"")
         self.flush()
+        if self._waiting:
+            self._clock = self._inbound.loop.call_later(OWED_S, self._fail_waiting)
+
+    def _fail_waiting(self) -> None:
+        """Fail what stands before a request that is turned away, which is owed its answer soon."""
+        for exchange in list(self._waiting):
+            request = exchange.request
+            if exchange.answer is None and request is not None:
+                exchange.failed(False)
+                self._inbound.taker.client_gone(request)
 
     def _linger(self) -> None:
         """Close after the last answer. Guards against a reset that takes the answer with it,
@@ -348,25 +449,25 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._half_sent = self._inbound.loop.call_later(LINGER_S, self._transport.abort)
+        self._clock = self._inbound.loop.call_later(LINGER_S, self._transport.abort)
 
     def _bound_unfinished(self, count: int) -> None:
         """Guards against half-sent requests: their size and their time are bounded."""
         message = self._message
         if message is None:
             return
-        if not message.head_done:
+        if message.exchange is None:
             self._head_bytes += count
             if self._head_bytes > 2 * framing.MAX_HEAD:
                 self._turn_away(431)
                 return
-        if self._half_sent is None:
-            self._half_sent = self._inbound.loop.call_later(HALF_SENT_S, self._turn_away, 408)
+        if self._clock is None:
+            self._clock = self._inbound.loop.call_later(HALF_SENT_S, self._turn_away, 408)
 
     def _stop_clock(self) -> None:
-        if self._half_sent is not None:
-            self._half_sent.cancel()
-            self._half_sent = None
+        if self._clock is not None:
+            self._clock.cancel()
+            self._clock = None
 
 
 class Inbound:
@@ -378,17 +479,24 @@
         self.taker = taker
         self.draining = False
         self._names = config.names
-        self._soft = max(1, int(config.descriptors * SHARE))
-        self._hard = max(2, int(config.descriptors * HARD_SHARE))
+        self._most = max(2, int(config.descriptors * SHARE))
         self._connections: dict[Connection, None] = {}
+        # Both oldest first, so that whom to close is found without a walk over all.
+        self._unasked: dict[Connection, None] = {}  # no whole request yet
+        self._resting: dict[Connection, None] = {}  # between requests
+        self._calls: set[str] = set()  # identities of requests of which something is open
+        self._sweeping: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> Address:
         """Accept connections from now on; the address bound."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.create_server(address, family=family, backlog=BACKLOG)
         self._server = await self.loop.create_server(
-            lambda: Connection(self), address.host, address.port, backlog=BACKLOG
+            lambda: Connection(self), sock=sock, backlog=ACCEPTS_A_TURN
         )
-        host, port = self._server.sockets[0].getsockname()[:2]
+        sock.listen(BACKLOG)  # the loop takes its own figure for the kernel's
+        host, port = sock.getsockname()[:2]
         return Address(host, port)
 
     def stop_listening(self) -> None:
@@ -411,38 +519,91 @@
 
     def close(self) -> None:
         """Close all at the end."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
         for connection in list(self._connections):
             connection.abort()
 
     # --- what connections report ----------------------------------------------
 
     def opened(self, connection: Connection) -> None:
-        """A new connection; too many make room by closing what is idle."""
-        connection.idle_since = self.clock.now()
-        if len(self._connections) >= self._soft:
-            idle = [other for other in self._connections if other.idle]
-            if idle:
-                min(idle, key=lambda other: other.idle_since).close()
-        self._connections[connection] = None
-        if len(self._connections) > self._hard:
+        """A new connection; too many make room by closing one that asks nothing."""
+        if len(self._connections) >= self._most and not self._make_room():
             connection.abort()
+            return
+        connection.opened_at = self.loop.time()
+        self._connections[connection] = self._unasked[connection] = None
+        if self._sweeping is None:
+            self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _make_room(self) -> bool:
+        """Close the connection that has waited longest to ask, or else the one at rest for longest."""
+        looked = 0
+        for waiting in (self._unasked, self._resting):
+            for connection in waiting:
+                if connection.idle:
+                    self._connections.pop(connection, None)
+                    del waiting[connection]
+                    connection.close()
+                    return True
+                looked += 1
+                if looked >= LOOKED_AT_MOST:
+                    break
+        return False
+
+    def _sweep(self) -> None:
+        """Guards against connections that never ask, or never to the end."""
+        until = self.loop.time() - FIRST_S
+        while self._unasked and (oldest := next(iter(self._unasked))).opened_at <= until:
+            del self._unasked[oldest]
+            oldest.first_is_overdue()
+        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep) if self._unasked else None
+
+    def busy(self, connection: Connection) -> None:
+        """A request begins on it."""
+        self._resting.pop(connection, None)
+
+    def rests(self, connection: Connection) -> None:
+        """All that it asked is answered."""
+        if connection in self._connections:
+            self._resting[connection] = None
 
     def closed(self, connection: Connection) -> None:
         """A connection is closed."""
-        self._connections.pop(connection, None)
+        for held in (self._connections, self._unasked, self._resting):
+            held.pop(connection, None)
+
+    def read(self, exchange: Exchange, message: Message) -> None:
+        """A head: `BadRequest` where the request can't be taken.
+
+        Guards against a second copy: an identity that is open anywhere, or of which an attempt is
+        still out, is some other client's."""
+        exchange.read(message, self._names)
+        self._unseen(exchange)
+
+    def _unseen(self, exchange: Exchange) -> None:
+        if exchange.call_id in self._calls:
+            raise BadRequest(409, "X-Call-Id: is open already")
 
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A whole request: answered here, or taken."""
-        if message.target.partition(b"?")[0] == READY_PATH.encode():
+        self._unasked.pop(exchange.connection, None)
+        if not exchange.call_id:
             exchange.answer = (503 if self.draining else 200, [], b"")
-        elif len(self._connections) > self._soft:
-            exchange.keep_alive = False
-            exchange.refused(0.0)
-        else:
-            try:
-                exchange.read(message, self._names)
-                exchange.request = self.taker.arrive(exchange, read_at)
-            except BadRequest as error:
-                text = "" if message.method == "HEAD" else f"{error}\n"
-                exchange.answer = (error.status, [], text.encode())
-        exchange.connection.flush()
+            return
+        try:
+            self._unseen(exchange)
+        except BadRequest as error:
+            exchange.answer = (error.status, [], f"{error}\n".encode())
+            return
+        exchange.whole(message)
+        self._calls.add(exchange.call_id)
+        request = self.taker.arrive(exchange, read_at)
+        if request is None:
+            self.over(exchange)
+        elif exchange.call_id in self._calls:
+            exchange.request = request
+
+    def over(self, exchange: Exchange) -> None:
+        """Nothing of a request is open any more."""
+        self._calls.discard(exchange.call_id)
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -14,7 +14,7 @@
 
 from fordtrestle import framing
 from fordtrestle.config import Address, Config, ServerList
-from fordtrestle.driver import Answer, Clock, Result
+from fordtrestle.driver import Answer, Clock, Result, log
 from poppypulley.model import Listing, Outcome
 
 # A server closes what has stood idle for the time in the settings at the latest, as it counts:
@@ -26,7 +26,7 @@
 # Nothing on the wire ties an answer to its request but the order on its connection: one is used
 # again only once no second copy and no noise has come right behind the last answer.
 SETTLE_MS = 3.0
-POOL_SHARE = 0.5  # of the descriptors that this process may hold
+POOL_SHARE = 0.46  # of the descriptors that this process may hold
 FIGURE_MOST = 1e9  # of a load report
 
 NOT_FOR_CLIENTS = frozenset((b"x-load-report", b"x-rejected"))
@@ -125,6 +125,7 @@
         """The connection is up."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._pool.opened(self)
         transport.set_write_buffer_limits(0)  # so that `resume_writing` tells when all is written
 
     def resume_writing(self) -> None:
@@ -154,6 +155,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is gone."""
         self.lost = True
+        self._parser.close()
         self._pool.lost(self)
         self._break(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
 
@@ -208,7 +210,7 @@
 
     def update(self, now: float, whole: bool, news: ServerList) -> None:
         """Take in what discovery said; the grace of a server that leaves runs from `now`."""
-        named = set()
+        named: set[str] = set()
         for entry in news.entries:
             named.add(entry.server)
             self._note(now, entry, news.addresses.get(entry.server))
@@ -221,6 +223,9 @@
         if known is None:
             if address is None:
                 return
+            # Guards against connections, and sends, to a new server under the name of one that is gone.
+            for other in [name for name, server in self._servers.items() if server.address == address]:
+                self._leave(now, other, "left")
             known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
         if (address or known.address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
@@ -254,6 +259,11 @@
 
     # --- what connections report ----------------------------------------------
 
+    def opened(self, connection: Connection) -> None:
+        """A connection is up. Guards against one that comes up just as its attempt is given up:
+        it is held from its first moment, not from when somebody awaits it."""
+        self._connections.add(connection)
+
     def free(self, connection: Connection) -> None:
         """A connection carries nothing now."""
         if self._servers.get(connection.server.name) is not connection.server:
@@ -354,7 +364,10 @@
                 self._close_oldest()  # the next attempt finds a descriptor
             exchange.end(Result(Outcome.CONNECT_FAILED))
             return
-        self._connections.add(connection)
+        except Exception as error:  # guards against an exchange that nothing ever ends
+            log(f"a connection to {server.name}: {error!r}")
+            exchange.end(Result(Outcome.CONNECT_FAILED))
+            return
         if exchange.ended or not connection.fresh():
             # A full server may take a connection and close it at once: nothing is written there.
             connection.abort()
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -106,7 +106,7 @@
 COME_BACK = 0.1  # of the aim: soon enough that a client's retry may still be served in time
 COLD_SHARE = 0.75  # of what topples a cold server, were all warm ones fully loaded
 RATE_MS = 10000.0  # memory of the own rate of sends
-RATE_LEAST_MS = 1000.0  # a first burst is no rate
+RATE_LEAST_MS = 200.0  # a first burst is no rate
 
 # Connections dropped unseen while idle: those unused for so much of the time at which one failed
 # are closed; this is forgotten again.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 import json
 from dataclasses import dataclass, field
 
@@ -46,6 +47,8 @@
     "Balancers": 2,
 }
 
+CALLS = itertools.count(1)  # an identity is new with every request
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Load-Report: inflight=1,queue=0\r\n\r\ndone"
 
 
@@ -178,8 +181,9 @@
     return {"index": index, "snapshot": snapshot, "endpoints": list(entries)}
 
 
-def entry(name, address="127.0.0.1:9", **changes):
-    """One server of a list."""
+def entry(name, address=None, **changes):
+    """One server of a list, at an address of its own."""
+    address = address or f"127.0.0.{9 + sum(name.encode()) % 200}:9"
     row = {"name": name, "address": address, "zone": "west", "type": "small", "group": 3, "status": "active"}
     return {**row, "weight": 1.0, "since_ms": 0, **changes}
 
@@ -272,7 +276,7 @@
     """A request as the application writes it; a header of None is left out."""
     sent = {
         "Host": "api.internal",
-        "X-Call-Id": "9b1f03aa5c7e2d41",
+        "X-Call-Id": f"{next(CALLS):016x}",
         "X-Call-Class": target.split("/")[1].split("?")[0],
         "X-Caller": "globex",
         "X-Budget": BUDGET,
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -149,7 +149,9 @@
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
         app = await App.connect(sidecar.address)
-        answer = await app.ask("POST", "/book/1?a=b", b"\x00body", Cookie="user=u1")
+        answer = await app.ask(
+            "POST", "/book/1?a=b", b"\x00body", Cookie="user=u1", X_Call_Id="9b1f03aa5c7e2d41"
+        )
     (seen,) = upstream.seen
     assert seen.start == "POST /book/1?a=b HTTP/1.1"
     assert (seen.body, answer.body) == (b"\x00body", b"done")
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -229,7 +229,7 @@
     module = Scripted()
     async with running(balancer=module) as sidecar:
         app = await App.connect(sidecar.address)
-        app.writer.write(b"POST /pay HTTP/1.1\r\nContent-Length: 5\r\n\r\nab")
+        app.writer.write(partners.request("POST", "/pay", b"hello")[:-2])
         assert status_of(await app.answer()) == 408
         assert await app.answer() is None
         assert module.named("request") == []
@@ -265,21 +265,124 @@
 
 
 @loopback
-async def test_room_is_made_by_closing_what_is_idle_before_a_request_is_refused():
+async def test_room_is_made_by_who_never_asked_then_by_who_rests_and_never_by_who_waits():
     upstream = await Upstream([OK, hang]).start()
     async with running(upstream) as sidecar:
-        sidecar.inbound._soft = 2
-        apps = [await App.connect(sidecar.address) for _ in range(2)]
-        assert status_of(await apps[0].ask()) == 200
-        apps[1].send()
+        sidecar.inbound._most = 3
+        resting, waiting, silent = [await App.connect(sidecar.address) for _ in range(3)]
+        assert status_of(await resting.ask()) == 200
+        waiting.send()
         await until(lambda: len(upstream.seen) == 2)
+        await App.connect(sidecar.address)
+        assert await silent.answer() is None
+        await App.connect(sidecar.address)
+        fourth = await App.connect(sidecar.address)
+        for app in (fourth, waiting):
+            assert not app.reader.at_eof()
+        fourth.send()
+        await until(lambda: len(upstream.seen) == 3)
+        assert len(sidecar.inbound._connections) <= 3
+        # At the most, with nobody to send away, a new connection is closed at once.
         third = await App.connect(sidecar.address)
-        assert await apps[0].answer() is None  # closed between requests
         third.send()
-        await until(lambda: len(upstream.seen) == 3)
-        fourth = await App.connect(sidecar.address)
-        answer = await fourth.ask()
-        assert (status_of(answer), answer.headers["connection"]) == (503, "close")
+        await until(lambda: len(upstream.seen) == 4)
+        assert await (await App.connect(sidecar.address)).answer() is None
+
+
+@loopback
+async def test_a_flood_of_silent_connections_does_not_keep_out_who_asks(monkeypatch):
+    """Guards against turning good requests away for connections that never ask, and against
+    accepting more in one turn than can be closed in it."""
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, raw={"limits": {"sockets": 128}}) as sidecar:
+        flood = [await App.connect(sidecar.address) for _ in range(3 * sidecar.inbound._most)]
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask()) == 200
+        assert len(sidecar.inbound._connections) <= sidecar.inbound._most
+        for silent in flood:
+            silent.close()
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /pay HTT", partners.request("POST", "/pay", b"hello")[:-2]])
+@loopback
+async def test_who_never_ends_a_first_request_is_told_so_or_closed(sent, monkeypatch):
+    monkeypatch.setattr(inbound, "FIRST_S", 0.1)
+    module = Scripted()
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(sent)
+        answer = await app.answer()
+        assert answer is None if not sent else status_of(answer) == 408
+        await until(lambda: sidecar.inbound.empty)
+        assert module.named("request") == []
+
+
+@loopback
+async def test_an_identity_that_is_open_is_refused_and_the_first_request_untouched():
+    """Guards against a second copy, sent by whoever has seen the identity of another's request."""
+    upstream = await Upstream([hang, OK]).start()
+    module = Scripted(client_gone=lambda now, number: [])
+    async with running(upstream, balancer=module) as sidecar:
+        first, second = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        first.send(X_Call_Id="abc")
+        await until(lambda: upstream.seen)
+        assert status_of(await second.ask(X_Call_Id="abc")) == 409
+        first.close()
+        await until(lambda: module.named("client_gone"))
+        # Its attempt is still out: it may yet run.
+        second = await App.connect(sidecar.address)
+        assert status_of(await second.ask(X_Call_Id="abc")) == 409
+        upstream.writers[0].transport.abort()
+        await until(lambda: not sidecar.inbound._calls)
+        second = await App.connect(sidecar.address)
+        assert status_of(await second.ask(X_Call_Id="abc")) == 200
+        assert len(upstream.seen) == 2
+        await until(lambda: not sidecar.inbound._calls)
+
+
+@pytest.mark.parametrize("raw", [b"\x00\x01\r\n\r\n", partners.request("GET", "/look", X_Caller="nobody")])
+@loopback
+async def test_what_is_turned_away_does_not_wait_for_long_behind_an_open_request(raw, monkeypatch):
+    """Each request gets its one answer, in order; the open one fails, since its client sends rubbish."""
+    monkeypatch.setattr(inbound, "OWED_S", 0.05)
+    upstream = await Upstream([hang]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        await until(lambda: upstream.seen)
+        app.writer.write(raw)
+        assert [status_of(await app.answer()) for _ in range(2)] == [502, 400]
+        assert await app.answer() is None
+
+
+@pytest.mark.parametrize("name", ["X-Call-Id", "X-Budget", "X-Caller", "Cookie", "Idempotency-Key"])
+@loopback
+async def test_a_field_that_stands_twice_is_bad_and_unknown_ones_stay_here(name):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        head = partners.request("POST", "/book", Cookie="user=a", X_Odd="1", Content_Type="text/plain")
+        app.writer.write(head)
+        assert status_of(await app.answer()) == 200
+        (seen,) = upstream.seen
+        assert "x-odd" not in seen.headers
+        assert seen.headers["content-type"] == "text/plain"
+        line = next(row for row in head.split(b"\r\n") if row.startswith(name.encode()))
+        app.writer.write(head.replace(line, line + b"\r\n" + line))
+        assert status_of(await app.answer()) == 400
+        assert len(upstream.seen) == 1
+
+
+@loopback
+async def test_a_trailer_changes_nothing_of_the_request():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send("POST", "/pay", Content_Length=None, Transfer_Encoding="chunked", X_Call_Id="abc")
+        app.writer.write(b"2\r\nhi\r\n0\r\nX-Call-Id: other\r\n\r\n")
+        assert status_of(await app.answer()) == 200
+        (seen,) = upstream.seen
+        assert (seen.headers["x-call-id"], seen.body) == ("abc", b"hi")
 
 
 # --- readiness and drain -----------------------------------------------------------
