Hold a pace over four seconds of answers where they are many

To blame: PACE_MEMORY, fifty answers, which are a fifth of a second at 250 a second, of a heavy-tailed work. Ruled out: the list (see the trace of lists).

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -66,7 +66,8 @@
 
 # Pace: time taken per unit of work asked. A few samples of one's own tell little, so a server
 # is held to its kind's pace and a kind to the service's until there is evidence.
-PACE_MEMORY = 0.98  # kept at each new answer: about the last fifty
+PACE_ANSWERS = 50.0  # a pace is that of about so many last answers
+PACE_MS = 4000.0  # or of so long, where that is more: else one heavy request turns all draws
 PACE_PRIOR = 6.0  # answers' worth of belief in the wider figure
 PACE_POWER = 2.5  # how strongly draws shun the slow
 SPEED_LEAST = 0.2  # nothing is shunned so far that it cannot show that it is better
@@ -264,9 +265,11 @@
     work: float = 0.0
     speed: float = 1.0
 
-    def add(self, spent: float, work: float) -> None:
-        self.spent = self.spent * PACE_MEMORY + spent
-        self.work = self.work * PACE_MEMORY + work
+    def add(self, spent: float, work: float, answers: float) -> None:
+        """Take in an answer, where so many come in `PACE_MS`."""
+        kept = 1.0 - 1.0 / max(PACE_ANSWERS, answers)
+        self.spent = self.spent * kept + spent
+        self.work = self.work * kept + work
 
     def rate(self, wider: float, belief: float) -> float:
         """Time per work, leaning on a wider figure by `belief` units of work."""
@@ -734,7 +737,7 @@
             late = spent > request.profile.objective
             self._shed.strain(now, self._strain(server, status, now), self._rate(now))
             least = 0.0 if status == OK else request.profile.objective
-            self._learn_pace(server, max(spent, least), request.work)
+            self._learn_pace(now, server, max(spent, least), request.work)
         if self._zoned and status != MOOT and status != CANCELLED:
             missed = float(status != OK or spent > request.profile.objective)
             if server.zone != self._set.locality:
@@ -820,11 +823,12 @@
         # late where a crowd drops work unseen and serves the rest quickly.
         return DUE_STRAIN * min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
 
-    def _learn_pace(self, server: Server, spent: float, work: float) -> None:
+    def _learn_pace(self, now: float, server: Server, spent: float, work: float) -> None:
         """Move a server's share of the draws by how it and its kind keep pace."""
         kind, own = server.kind_pace, server.pace
-        for pace in (self._pace, kind, own):
-            pace.add(spent, work)
+        answers = self._rate(now) * PACE_MS
+        for pace, sharing in ((self._pace, 1.0), (kind, len(self._kind_pace)), (own, self._most_servers)):
+            pace.add(spent, work, answers / sharing)
         belief = PACE_PRIOR * self._mean_work
         whole = self._pace.rate(0.0, 0.0)
         of_kind = kind.rate(whole, belief)
