Learn how much a server takes at once, in place of resting it for one too many

The trace of outcomes by server shows why: three of seven servers turned away what was over some four requests at once and answered the rest in their usual time; each full answer rested them for 0.1 to 3.2 s, the others then held 20 to 32 each and slowed down. To blame: the FULL branch of _learn. Ruled out: draining unseen (they served on), cold, the list. Now a server that turns one away while it works on others of ours takes as many as it holds, one more every 4 s; one that holds none of ours still rests.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -62,6 +62,7 @@
 REST_MAX_MS = 16000.0
 FULL_REST_MS = 100.0  # doubles while a server turns all away, as one that drains unseen does
 FULL_REST_MAX = 5
+ROOM_REGAIN_MS = 4000.0  # a server that turned away one too many is tried with one more so often
 EJECT_SHARE = 0.25  # beyond this the fault is not the servers' own, and too few are left to serve
 
 # Pace: time taken per unit of work asked. A few samples of one's own tell little, so a server
@@ -294,6 +295,8 @@
     out: dict[Attempt, None] = field(default_factory=dict)  # oldest first
     strikes: int = 0
     fulls: int = 0  # in a row
+    room: int = 0  # own requests that it held as it turned one more away, which is all that it takes
+    room_at: float = -math.inf
     ill: float = 0.0  # fading share of faults
     rest_until: float = 0.0
     seen_load: float = 0.0
@@ -727,6 +730,8 @@
         """Whether a server may be drawn; one that struck gets a single trial."""
         if now < server.rest_until or not self._cold_room(now, server):
             return False
+        if server.open >= server.room + (now - server.room_at) / ROOM_REGAIN_MS:
+            return False
         return server.strikes == 0 or server.open == 0
 
     def _learn(self, now: float, request: Request, attempt: Attempt, status: int, spent: float) -> None:
@@ -753,8 +758,12 @@
             late = spent > request.profile.objective
             window.add(now, LATE_ACCEPT if late else 1.0)
         elif status == FULL:
-            server.rest_until = max(server.rest_until, now + FULL_REST_MS * 2.0**server.fulls)
-            server.fulls = min(server.fulls + 1, FULL_REST_MAX)
+            if server.open:
+                # It works on others: it takes so many, and rests would leave that unused.
+                server.room, server.room_at = server.open, now
+            else:
+                server.rest_until = max(server.rest_until, now + FULL_REST_MS * 2.0**server.fulls)
+                server.fulls = min(server.fulls + 1, FULL_REST_MAX)
             window.add(now, 0.0)
         elif status in FAULTS and not self._stale(now, attempt, status, spent):
             self._blame(now, server, status == TIMEOUT)
@@ -818,7 +827,7 @@
             crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
             return crowd * min(1.0, RATE_MS / (SHED_GAIN * SHED_LEAK_MS * max(1.0, self._sends)))
         if status != TIMEOUT:
-            return 1.0 if status == FULL else 0.0
+            return float(status == FULL)
         # Guards against shedding for answers that are lost while servers have room; it may shed
         # late where a crowd drops work unseen and serves the rest quickly.
         return DUE_STRAIN * min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -367,3 +367,26 @@
         (send,) = of_type(made.request(0.0, Arrival(key, 0, 1000.0, key=key)), Send)
         assert send.server not in ("s0", "s1")
         made.outcome(0.0, key, 0, Outcome.OK, 5.0, True)
+
+
+def test_a_server_that_takes_only_a_few_at_once_is_kept_busy_with_so_many():
+    # Found on churn, seed 3: three servers turned away what was over four at once, were rested for
+    # that, and the others were pushed over.
+    made = balancer("unsafe", servers=2)
+    now, turned = 0.0, 0
+    held: dict[str, list[int]] = {"s0": [], "s1": []}
+    for number in range(800):
+        now += 1.0
+        (send,) = of_type(made.request(now, arrival(number, now)), Send)
+        line = held[send.server]
+        if send.server == "s0" and len(line) >= 4:
+            turned += 1
+            (again,) = of_type(made.outcome(now, number, 0, Outcome.FULL, 0.5), Send)
+            assert again.server == "s1"
+            line = held["s1"]
+        line.append(number)
+        if len(line) > 5 or now % 3 == 0:
+            first = line.pop(0)
+            made.outcome(now, first, len(made._requests[first].attempts) - 1, Outcome.OK, 6.0, True)
+    assert turned < 10
+    assert made._servers["s0"].rest_until == 0.0
