Let nothing grow with the ids ever seen, and call a server left whose address has gone

Read: an id that is never told `left` stayed in the pool and in the module for good, also where its address belongs to a new server; ids that had left stayed in the module for ten minutes, and each news sorts them all; a request and its attempts held each other. A test plays 180 ids on three addresses, 1,200 clients, keys and identities, then counts all books; without the change it fails at the module's servers. Counts of objects are back as well. Ruled out by it: timers, tables of keys, connections of attempts that were given up. Now the pool tells which names an address was taken from and the driver passes them on as left; ids gone for a minute are forgotten, longer than any crash on record.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -87,8 +87,8 @@
     def probe(self, server: str, done: Callable[[Result], None]) -> Exchange:
         """Begin a probe, likewise."""
 
-    def update(self, now: float, whole: bool, news: ServerList) -> None:
-        """What discovery said of the servers."""
+    def update(self, now: float, whole: bool, news: ServerList) -> list[str]:
+        """What discovery said of the servers; the names whose address has gone to another."""
 
     def close_idle(self, server: str) -> None:
         """Close the idle connections to a server."""
@@ -207,8 +207,9 @@
         if news is None:
             self._ask(None, self._balancer.server_list, form, ())
             return
-        self._upstreams.update(self._clock.now(), form != "changes", news)
-        self._ask(None, self._balancer.server_list, form, news.entries)
+        replaced = self._upstreams.update(self._clock.now(), form != "changes", news)
+        gone = [model.Listing(name, state="left") for name in replaced]
+        self._ask(None, self._balancer.server_list, form, gone + news.entries)
 
     def peer_message(self, peer: int, data: bytes) -> None:
         """A message of another sidecar."""
@@ -374,6 +375,7 @@
     def _forget(self, request: Request) -> None:
         if request.ended and request.out == 0 and self._requests.pop(request.id, None) is not None:
             request.call.over()
+            request.attempts.clear()  # they refer back: without them the memory is free at once
 
 
 def log(text: str) -> None:
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -208,24 +208,30 @@
         head = PROBE_HEAD % (self._probe_target, host)
         return self._begin(server, Exchange(lambda left: head, math.inf, done, probe=True))
 
-    def update(self, now: float, whole: bool, news: ServerList) -> None:
-        """Take in what discovery said; the grace of a server that leaves runs from `now`."""
-        named: set[str] = set()
+    def update(self, now: float, whole: bool, news: ServerList) -> list[str]:
+        """Take in what discovery said; the grace of a server that leaves runs from `now`.
+
+        Guards against connections, and sends, to a new server under the name of one that is gone
+        without a word: such names are returned."""
+        named = {entry.server for entry in news.entries}
+        taken = {address for name, address in news.addresses.items() if name not in self._servers}
+        replaced = [
+            name for name, server in self._servers.items() if server.address in taken and name not in named
+        ]
+        for name in replaced:
+            self._leave(now, name, "left")
         for entry in news.entries:
-            named.add(entry.server)
             self._note(now, entry, news.addresses.get(entry.server))
         if whole:
             for name in [name for name in self._servers if name not in named]:
                 self._leave(now, name, "left")
+        return replaced
 
     def _note(self, now: float, entry: Listing, address: Address | None) -> None:
         known = self._servers.get(entry.server)
         if known is None:
             if address is None:
                 return
-            # Guards against connections, and sends, to a new server under the name of one that is gone.
-            for other in [name for name, server in self._servers.items() if server.address == address]:
-                self._leave(now, other, "left")
             known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
         if (address or known.address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -129,7 +129,7 @@
 SPILL_GAIN = 0.15  # per outcome
 MISS_MEMORY = 0.9  # of the far zones' misses, of which few are seen
 
-FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
+FORGET_MS = 60000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
 ASK_AGAIN_MS = 500.0
 WATCH = "watch"
--- /dev/null
+++ b/tests/test_sidecar_long.py
@@ -0,0 +1,49 @@
+"""The long day: nothing grows with the identities, keys, connections and servers ever seen."""
+
+from __future__ import annotations
+
+import gc
+
+from fordtrestle import driver, inbound, outbound
+from fordtrestle.config import parse_list
+from poppypulley import balancer
+from tests.loopback import OK, App, Upstream, entry, listed, loopback, running, told, until
+
+TURNS, CLIENTS = 60, 20
+HELD = (driver.Request, driver.Attempt, inbound.Connection, inbound.Exchange, outbound.Exchange)
+
+
+def alive():
+    gc.collect()
+    return sum(isinstance(thing, HELD) for thing in gc.get_objects())
+
+
+@loopback
+async def test_sizes_are_back_to_bounds_after_a_day_of_ever_new_ids(monkeypatch):
+    """Guards against what grows by the id: each turn all servers are new, at the old addresses and
+    with no word of those that are gone, and so are clients, keys and identities."""
+    monkeypatch.setattr(balancer, "FORGET_MS", -1.0)
+    upstreams = [await Upstream([OK]).start() for _ in range(3)]
+    async with running(*upstreams, Domain={"WarmKeys": True}) as sidecar:
+        before = alive()
+        served = 0
+        for turn in range(TURNS):
+            rows = [entry(f"s{turn}-{i}", upstream.address) for i, upstream in enumerate(upstreams)]
+            news = parse_list(listed(42 + turn, *rows, snapshot=False), told().names)
+            sidecar.driver.server_list("changes", news)
+            apps = [await App.connect(sidecar.address) for _ in range(CLIENTS)]
+            for number, app in enumerate(apps):
+                app.send("POST", "/pay", b"x" * 900, Cookie=f"user={turn}-{number}")
+            for app in apps:
+                served += (await app.answer()).body == b"done"
+                app.close()
+        assert served > 0.9 * TURNS * CLIENTS
+        await until(lambda: sidecar.inbound.empty and not sidecar.driver._requests)
+        module, pool = sidecar.driver._balancer, sidecar.pool
+        assert len(pool._servers) == len(module._servers) == len(upstreams)
+        assert not sidecar.inbound._calls and not sidecar.inbound._unasked and not sidecar.inbound._resting
+        await until(lambda: pool._connections == {c for s in pool._servers.values() for c in s.idle})
+        assert not pool._opening and not module._requests
+        assert len(module._key_counts) <= len(module._keys) <= balancer.KEY_MEMORY
+        assert module._resting.keys() <= module._servers.keys()
+        assert alive() <= before
