Take outside programs out of the rig and the measurements

Need: peers of a measurement are this project's earlier builds, its own baselines and its stand-ins.

--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -1,9 +1,8 @@
 """Healthy clients beside crowds of bad ones: are they still served, in time, and at what cost?
 
-`python -m benchmarks.crowds [--quick] [--seed N] [--json FILE] [--tree DIR] [--only NAME[,NAME]]
-[--peer haproxy]`. Exit codes: 0 all bounds met, 1 a bound not met, 2 bad input
-or a program that can't be started. Bounds are judged for
-the sidecar only; a peer's rows stand beside for comparison.
+`python -m benchmarks.crowds [--quick] [--seed N] [--json FILE] [--tree DIR] [--only NAME[,NAME]]`.
+Exit codes: 0 all bounds met, 1 a bound not met, 2 bad input or a program that can't be started. Beside
+it goes an earlier build of this project, from its own checkout (`--tree`).
 """
 
 from __future__ import annotations
@@ -12,7 +11,6 @@
 import asyncio
 import errno
 import os
-import shutil
 import sys
 import time
 from collections.abc import Callable
@@ -31,7 +29,7 @@
     table,
     write_json,
 )
-from rig.balancers import MEMORY_MB, SOCKETS, Peer, Stage, stage
+from rig.balancers import MEMORY_MB, SOCKETS, Stage, stage
 from rig.clients import Burst, Clients, Plan, Result, Tally
 from rig.crowds import KINDS, PIPELINED, Crowd, Size, spread
 from rig.process import Peaks, ProgramError, reserve_core, sampled
@@ -168,7 +166,6 @@
     """What one scenario showed on one program."""
 
     name: str
-    peer: Peer
     sockets: int
     tally: Tally
     peaks: Peaks
@@ -219,7 +216,6 @@
         """All figures as JSON values."""
         return {
             "name": self.name,
-            "peer": self.peer,
             "sockets": self.sockets,
             "healthy": self.tally.told(),
             "p99_ratio": self.p99_ratio if self.p99_ratio == self.p99_ratio else None,
@@ -265,7 +261,7 @@
     """A row as the table shows it."""
     tally = row.tally
     return [
-        row.name if row.peer == "sidecar" else f"{row.name} ({row.peer})",
+        row.name,
         str(tally.asked),
         figure(100.0 * tally.in_time, ".1f"),
         figure(tally.latency_ms(0.5), ".1f"),
@@ -283,15 +279,14 @@
         figure(100.0 * row.cpu_share),
         f"{row.peaks.descriptors}/{row.sockets}",
         figure(row.peaks.rss_mb),
-        "; ".join(row.not_met) or ("-" if row.peer == "sidecar" else "not judged"),
+        "; ".join(row.not_met) or "-",
     ]
 
 
-async def measure(scenario: Scenario, tree: Path, peer: Peer, seed: int) -> Row:
+async def measure(scenario: Scenario, tree: Path, seed: int) -> Row:
     """Play one scenario on a program that is started for it; `ProgramError` if it can't be."""
     async with stage(
         tree,
-        peer,
         seed=seed,
         work_ms=scenario.work_ms,
         sockets=scenario.sockets,
@@ -307,7 +302,6 @@
                 asking.cancel()
         return Row(
             name=scenario.name,
-            peer=peer,
             sockets=scenario.sockets,
             tally=clients.tally,
             peaks=peaks,
@@ -346,25 +340,23 @@
         return 0.0
 
 
-async def run(names: list[str], setting: Setting, tree: Path, peers: list[Peer]) -> list[Row]:
+async def run(names: list[str], setting: Setting, tree: Path) -> list[Row]:
     """All rows, each as soon as it is measured also on standard error."""
     rows: list[Row] = []
-    bases: dict[Peer, Row] = {}
+    base: Row | None = None
     for name in names:
         scenario = SCENARIOS[name](name, setting)
-        for peer in peers:
-            row = await measure(scenario, tree, peer, setting.seed)
-            if name == NONE:
-                bases[peer] = row
-            elif scenario.compared:
-                row.compare(bases[peer])
-            if peer == "sidecar":
-                row.judge(scenario)
-            rows.append(row)
-            print(f"{name} ({peer}): {'; '.join(row.not_met) or 'measured'}", file=sys.stderr, flush=True)
-            if row.tally.lag_most_ms > LAG_MOST_MS:
-                late = f"clients got to a request {row.tally.lag_most_ms:.0f} ms late: measure again"
-                print(f"{name} ({peer}): {late}", file=sys.stderr, flush=True)
+        row = await measure(scenario, tree, setting.seed)
+        if name == NONE:
+            base = row
+        elif scenario.compared and base is not None:
+            row.compare(base)
+        row.judge(scenario)
+        rows.append(row)
+        print(f"{name}: {'; '.join(row.not_met) or 'measured'}", file=sys.stderr, flush=True)
+        if row.tally.lag_most_ms > LAG_MOST_MS:
+            late = f"clients got to a request {row.tally.lag_most_ms:.0f} ms late: measure again"
+            print(f"{name}: {late}", file=sys.stderr, flush=True)
     return rows
 
 
@@ -376,7 +368,7 @@
             if row.name == name and row.cpu_us is not None:
                 met = "met" if row.cpu_us <= most else "not met"
                 lines.append(
-                    f"CPU for each connection of {name} ({row.peer}): {row.cpu_us:.0f} us, whole process with"
+                    f"CPU for each connection of {name}: {row.cpu_us:.0f} us, whole process with"
                     f" kernel; {most:.0f} us: {met}"
                 )
     return lines
@@ -387,7 +379,6 @@
     made = options("crowds", __doc__)
     made.add_argument("--quick", action="store_true", help=f"{QUICK_S:g} s a row, not {LONG_S:g}")
     made.add_argument("--only", metavar="NAME[,NAME]", help=f"of {', '.join(SCENARIOS)}")
-    made.add_argument("--peer", choices=["haproxy"], help="the same rows on it beside")
     made.add_argument("--rate", type=float, default=RATE_PER_S, help="healthy requests a second")
     made.add_argument("--sockets", type=int, default=SOCKETS, help="descriptors of the program")
     return made
@@ -408,13 +399,8 @@
     except ValueError as error:
         options_.error(str(error))
     make_ready()
-    peers: list[Peer] = ["sidecar"]
-    if given.peer and shutil.which("haproxy"):
-        peers.append("haproxy")
-    elif given.peer:
-        print("haproxy is not installed: its rows are left out", file=sys.stderr)
     try:
-        rows = asyncio.run(run(names, setting, given.tree, peers))
+        rows = asyncio.run(run(names, setting, given.tree))
     except ProgramError as error:
         print(error, file=sys.stderr)
         return BAD_INPUT
--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -3,7 +3,7 @@
 `python -m benchmarks.fleet_faults [--quick] [--seed N] [--json FILE] [--tree DIR] [--only NAME[,NAME]]
 [--peers NAME[,NAME]] [--faults FILE] [--timeline]`. 33 stand-ins in three data centres, 6 programs under
 test, and 300 to 440 calls a second. Beside the sidecar play, on the same servers, calls and faults:
-`random` and `robin` (plain choice from the registry's list, one more try for what never ran) and haproxy.
+`random` and `robin` (plain choice from the registry's list, one more try for what never ran).
 
 Exit codes: 0 all rules kept by the sidecar in sound runs, 1 a rule broken or a run unsound, 2 bad input or
 a program that can't be started. Peers are not judged.
@@ -14,7 +14,6 @@
 import argparse
 import asyncio
 import gc
-import shutil
 import sys
 from collections import Counter
 from collections.abc import Sequence
@@ -291,9 +290,6 @@
     if given.timeline:
         _timelines(names, setting, own)
         return DONE
-    if "haproxy" in peers and shutil.which("haproxy") is None:
-        print("haproxy is not installed: its rows are left out", file=sys.stderr)
-        peers.remove("haproxy")
     raise_descriptors()
     gc.collect()
     gc.freeze()
--- a/benchmarks/load_accuracy.py
+++ b/benchmarks/load_accuracy.py
@@ -13,9 +13,7 @@
 from __future__ import annotations
 
 import math
-import shutil
 import socket
-import subprocess
 import sys
 import tempfile
 import threading
@@ -286,24 +284,6 @@
     return took
 
 
-def wrk(truth: Truth, figures: Figures) -> None:
-    """What `wrk` reports of the same stall, where it is installed."""
-    found = shutil.which("wrk")
-    if found is None:
-        print("wrk: not installed, skipped\n")
-        figures.rows.append({"case": "wrk", "skipped": "not installed"})
-        return
-    start_ns = time.monotonic_ns()
-    window = (start_ns + round(STALL_FROM_S * 1e9), start_ns + round((STALL_FROM_S + STALL_S) * 1e9))
-    truth.plan(Plan(stall_ns=window))
-    words = [found, "-t1", f"-c{CLOSED_CLIENTS}", "-d6s", "--latency", f"http://127.0.0.1:{truth.port}/look"]
-    told = subprocess.run(words, capture_output=True, text=True, timeout=30, check=False).stdout
-    rows = [line.strip() for line in told.splitlines() if "%" in line]
-    print("wrk on the same stall:", "; ".join(rows), end="\n\n")
-    figures.rows.append({"case": "wrk", "told": rows})
-    truth.records()
-
-
 # --- a trace ----------------------------------------------------------------------
 
 
@@ -389,7 +369,6 @@
         print(f"{still.long_share:.3%} of its time in gaps of over 0.5 ms\n", flush=True)
         percentiles(bench, figures, given.seed, 4.0 if given.quick else 10.0)
         stall(bench, figures, given.seed)
-        wrk(bench.truth, figures)
         replay(bench, figures, given.seed, 4.0 if given.quick else 10.0)
     finally:
         bench.truth.stop()
--- a/rig/balancers.py
+++ b/rig/balancers.py
@@ -1,11 +1,9 @@
-"""The programs under test: the sidecar of some checkout, and haproxy as a peer to compare it with."""
+"""The program under test: the sidecar of some checkout."""
 
 from __future__ import annotations
 
 import contextlib
 import json
-import shutil
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,7 +11,7 @@
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Literal
+from typing import Any
 
 from rig.clients import ask_raw
 from rig.helper import ROOT
@@ -22,11 +20,8 @@
 from rig.registry import Registry, entries, listed
 from rig.servers import Fleet
 
-Peer = Literal["sidecar", "haproxy"]
 MEMORY_MB = 192
 SOCKETS = 384
-# What the landed build gives its front: haproxy's `maxconn` is the same, so that both have as many places.
-RESERVED, FRONT_SHARE = 24, 0.44
 READY_S = 10.0
 
 SETTINGS: dict[str, Any] = {
@@ -60,33 +55,6 @@
     "Balancers": 1,
 }
 
-HAPROXY = """
-global
-    maxconn {places}
-    nbthread 1
-    log stderr local0 emerg
-defaults
-    mode http
-    option http-keep-alive
-    retries 0
-    timeout connect 250ms
-    timeout client 5s
-    timeout http-request 2s
-    timeout http-keep-alive 2s
-    timeout queue 1s
-    timeout server 2s
-frontend application
-    bind fd@{listener}
-    maxconn {places}
-    http-request return status 200 if {{ path /health/ready }}
-    http-request deny deny_status 400 unless {{ req.hdr(x-caller) -m str {tenant} }}
-    default_backend servers
-backend servers
-    balance leastconn
-    http-reuse safe
-{servers}
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class Target:
@@ -161,40 +129,10 @@
 
 
 @contextlib.asynccontextmanager
-async def haproxy(addresses: Sequence[str], sockets: int, core: int | None = None) -> AsyncIterator[Target]:
-    """haproxy before the same servers, with one thread; `ProgramError` where there is none."""
-    binary = shutil.which("haproxy")
-    if binary is None:
-        raise ProgramError("haproxy is not installed")
-    with tempfile.TemporaryDirectory(prefix="rig-") as folder, socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(1024)
-        places = max(2, int((sockets - RESERVED) * FRONT_SHARE))
-        rows = "\n".join(f"    server s{n} {address}" for n, address in enumerate(addresses))
-        text = HAPROXY.format(places=places, listener=listener.fileno(), tenant=KNOWN_TENANT, servers=rows)
-        path = Path(folder) / "haproxy.cfg"
-        path.write_text(text)
-        program = await Program.start(
-            [binary, "-db", "-f", str(path)],
-            cwd=Path(folder),
-            environment=clean_environment(),
-            descriptors=sockets,
-            core=core,
-            pass_fds=[listener.fileno()],
-        )
-        async with _ready(program, sockets, path, listener.getsockname()[1]) as target:
-            listener.close()  # else what waits in its backlog would outlive the program
-            yield target
-
-
-@contextlib.asynccontextmanager
-async def _ready(
-    program: Program, sockets: int, path: Path, port: int | None = None
-) -> AsyncIterator[Target]:
+async def _ready(program: Program, sockets: int, path: Path) -> AsyncIterator[Target]:
     """Wait until a program is ready; it is stopped at the block's end, whatever happens."""
     try:
-        if port is None:
-            port = await program.port(READY_S)
+        port = await program.port(READY_S)
         host, bound = "127.0.0.1", time.monotonic() + READY_S
         while not await answers_ready(host, port):
             if program.code is not None:
@@ -215,7 +153,6 @@
 @contextlib.asynccontextmanager
 async def stage(
     tree: Path = ROOT,
-    peer: Peer = "sidecar",
     *,
     servers: int = 8,
     seed: int = 1,
@@ -229,10 +166,7 @@
     registry = Registry(entries(fleet.addresses))
     try:
         await registry.start()
-        if peer == "haproxy":
-            made = haproxy(fleet.addresses, sockets, core)
-        else:
-            made = sidecar(tree, told(fleet.addresses, registry.address, sockets, **changes), core)
+        made = sidecar(tree, told(fleet.addresses, registry.address, sockets, **changes), core)
         async with made as target:
             yield Stage(target, fleet, registry)
     finally:
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import random
-import shutil
 import signal
 import sys
 import tempfile
@@ -29,12 +28,12 @@
 from rig.model import Make
 from rig.peers import PeerNet
 from rig.portservers import PortHost
-from rig.process import Program, ProgramError, clean_environment
+from rig.process import Program, clean_environment
 from rig.registry import Board, Entry, entry, listed
 from rig.servers import hold_port
 
-Peer = Literal["sidecar", "random", "robin", "haproxy"]
-PEERS: tuple[Peer, ...] = ("sidecar", "random", "robin", "haproxy")
+Peer = Literal["sidecar", "random", "robin"]
+PEERS: tuple[Peer, ...] = ("sidecar", "random", "robin")
 DIRECT: tuple[Peer, ...] = ("random", "robin")
 
 ZONES = ("north", "middle", "south")
@@ -57,31 +56,6 @@
 IDLE_CLOSE_MS = 5000.0
 QUOTA = 1.3  # of the expected rate, that all tenants together may have
 
-HAPROXY = """
-global
-    maxconn 1000
-    nbthread 1
-    log stderr local0 emerg
-defaults
-    mode http
-    option http-keep-alive
-    retries 1
-    option redispatch 1
-    timeout connect 250ms
-    timeout client 6s
-    timeout http-keep-alive 6s
-    timeout queue 1s
-    timeout server 6s
-frontend application
-    bind {listen}
-    http-request return status 200 if {{ path /health/ready }}
-    default_backend servers
-backend servers
-    balance leastconn
-    http-reuse safe
-{servers}
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class Site:
@@ -284,21 +258,6 @@
         )
 
 
-class HaproxyStand(Stand):
-    """haproxy in a sidecar's place: it knows all servers for good, and tries to connect each second."""
-
-    async def _launch(self, known: Sequence[Entry]) -> Program:
-        binary = shutil.which("haproxy")
-        if binary is None:
-            raise ProgramError("haproxy is not installed")
-        host, port = self.address
-        rows = "\n".join(f"    server {row['name']} {row['address']} check inter 1s" for row in known)
-        path = self.path / "haproxy.cfg"
-        path.write_text(HAPROXY.format(listen=f"{host}:{port}", servers=rows))
-        argv = [binary, "-db", "-f", str(path)]
-        return await Program.start(argv, cwd=self.path, environment=clean_environment(), descriptors=4096)
-
-
 # --- the whole ---------------------------------------------------------------------------------
 
 
@@ -466,8 +425,6 @@
     # --- parts -------------------------------------------------------------------------
 
     def _stand(self, number: int, name: str, tree: Path, rate_per_s: float) -> Stand:
-        if self.peer == "haproxy":
-            return HaproxyStand(name)
         assert self.peers is not None
         config = {
             "discovery": self.board.agents[name].address,
--- a/tests/rig/test_benchmarks.py
+++ b/tests/rig/test_benchmarks.py
@@ -98,7 +98,6 @@
         ["--seed", "x"],
         ["--rate", "-1"],
         ["--rate", "nan"],
-        ["--peer", "other"],
     ],
 )
 def test_bad_input_is_exit_code_2(arguments, monkeypatch, capsys):
@@ -106,7 +105,7 @@
     with pytest.raises(SystemExit) as ended:
         crowds.main()
     assert ended.value.code == 2 and "error" in capsys.readouterr().err
-    if arguments[0] not in ("--rate", "--peer"):
+    if arguments[0] != "--rate":
         with pytest.raises(SystemExit) as ended:
             points.main()
         assert ended.value.code == 2
