--- a/tests/rig/test_benchmarks.py
+++ b/tests/rig/test_benchmarks.py
@@ -23,7 +23,6 @@
     peaks = Peaks(descriptors=descriptors, rss_mb=rss_mb)
     return crowds.Row(
         "silent",
-        "sidecar",
         384,
         Tally(records=records),
         peaks,
@@ -118,7 +117,7 @@
 
 @bounded
 async def test_a_row_is_played_and_told():
-    (made,) = await crowds.run(["none"], SETTING, ROOT, ["sidecar"])
+    (made,) = await crowds.run(["none"], SETTING, ROOT)
     assert made.tally.count(Result.SERVED) == made.tally.asked > 0
     assert made.told()["healthy"]["in_time"] == 1.0
     assert len(crowds.cells(made)) == len(crowds.HEADS)
