Keep keys to as many servers as a sidecar keeps connections to, and leave a silent zone

Cause, read and probed: _draw_for_key sorted the whole ring, so a sidecar of 8 requests a second met 47 to 52 servers in 10 s, and each connection went idle (4.5 s) between two uses. Ruled out: the pool (no connection was closed by a server, none was written to late). A preference for open connections among a key's servers halved the handshakes as well, but 5% came late in the first seconds: servers of popular keys drew all others' too. For the silent zone: every server was found out alone, and at most a quarter may rest, less than a zone.

Change: keys go to an arc of the ring with a length that follows the own rate (KEY_USES uses of a connection in its idle time), where handshakes are priced; servers in trouble are passed over. A zone is held to be cut off once two of its servers owe answers sent since its last and another zone has answered since: its open connections are closed, so that a trial each 500 ms costs a connect time-out and not a request, and its silence is no strain.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -95,9 +95,16 @@
 SUBSET_PER_OPEN = 2  # a busy sidecar widens with its own requests in flight
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # spreads sidecars' starting places evenly
 
+# A zone is held to be cut off once two of its servers are silent and none has answered since, while
+# another zone does: what each server shows by itself comes too late for a sidecar that asks little.
+CUT_OFF_SERVERS = 2
+CUT_OFF_TRIAL_MS = 500.0  # between single trials of such a zone
+
 # Warm keys: rendezvous hashing draws the same few candidates for a key at all sidecars.
 KEY_SPREAD = 3.0  # servers for a key, as a multiple of its share of the whole ring
 KEY_LEAST = 2
+KEY_USES = 2.0  # of a connection in the time that it may lie unused: a sidecar's keys reach so few servers
+KEY_REACH_LEAST = 8
 KEY_CROWD = 2.0  # times the mean held: a server with more passes its keys down the order
 KEY_CROWD_LEAST = 3  # requests held at once that are no crowd
 KEY_MEMORY = 128  # arrivals by which a key's share is judged
@@ -400,6 +407,30 @@
         return None
 
 
+@dataclass(slots=True, eq=False)
+class Zone:
+    """Whether the servers of one zone can be reached at all."""
+
+    heard_at: float = -math.inf  # when one of them last answered, if only to turn away
+    out: dict[Attempt, None] = field(default_factory=dict)  # oldest first
+    silent: dict[str, float] = field(default_factory=dict)  # servers that never answered, by when asked
+    tried_at: float = -math.inf
+
+    def heard(self, now: float) -> None:
+        self.heard_at = now
+        self.silent.clear()
+
+    def silent_since(self, now: float) -> float:
+        """When the first was sent of what several of its servers owe an answer to; else infinite."""
+        owing = dict(self.silent)
+        for attempt in self.out:
+            if now < attempt.stalls_at:
+                break
+            if attempt.sent >= self.heard_at:
+                owing.setdefault(attempt.server.name, attempt.sent)
+        return min(owing.values()) if len(owing) >= CUT_OFF_SERVERS else math.inf
+
+
 class Balancer:
     """The decisions of one sidecar: events in, actions out."""
 
@@ -430,6 +461,9 @@
         self._spill = [0.0] * len(worths)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
+        self._zones: dict[int, Zone] = {}
+        self._cut_off: set[int] = set()
+        self._cut_off_at = -math.inf
         self._near: list[Server] = []
         self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
@@ -505,9 +539,10 @@
             attempt.server.idle += 1
         elif status == RESET:
             attempt.server.idle = 0
-        if attempt.fresh and status not in (MOOT, CANCELLED):
+        if attempt.fresh and status not in (MOOT, CANCELLED) and not self._is_cut_off(now, attempt.server):
             self._connect_ill += (1.0 - ILL_MEMORY) * ((status == CONNECT_FAILED) - self._connect_ill)
         attempt.server.out.pop(attempt, None)
+        self._hear_of_zone(now, attempt, status, spent)
         self._open -= 1
         request.out -= 1
         if report and self._reports:
@@ -650,6 +685,63 @@
         """The time that an answer usually takes; 0 before the first."""
         return self._mean_work * self._pace.rate(0.0, 0.0) if self._pace.work else 0.0
 
+    def _hear_of_zone(self, now: float, attempt: Attempt, status: int, spent: float) -> None:
+        """Whether an outcome shows that the server's zone can be reached, or is a sign that it can't."""
+        zone = self._zone(attempt.server)
+        zone.out.pop(attempt, None)
+        if status in (OK, ERROR, FULL):
+            for name in zone.silent if attempt.server.zone in self._cut_off else ():
+                if name in self._servers:  # the way to it was at fault
+                    server = self._servers[name]
+                    server.rest_until, server.strikes, server.ill = 0.0, 0, 0.0
+            zone.heard(now)
+        elif attempt.sent >= zone.heard_at and self._was_silent(status, spent):
+            zone.silent.setdefault(attempt.server.name, attempt.sent)
+
+    def _was_silent(self, status: int, spent: float) -> bool:
+        """Whether an attempt met no sign of life; a refused connection is one."""
+        never_up = status == CONNECT_FAILED and spent >= REFUSED * self._set.connect_timeout
+        return never_up or status == TIMEOUT
+
+    def _zone(self, server: Server) -> Zone:
+        return self._zones.setdefault(server.zone, Zone())
+
+    def _is_cut_off(self, now: float, server: Server) -> bool:
+        """Whether a server's zone is silent while another is not."""
+        if now != self._cut_off_at:
+            self._look_at_zones(now)
+        return server.zone in self._cut_off
+
+    def _look_at_zones(self, now: float) -> None:
+        self._cut_off_at = now
+        # Where none has answered since, this sidecar itself may be cut off: that tells nothing of a zone.
+        heard_at = max((zone.heard_at for zone in self._zones.values()), default=-math.inf)
+        cut_off = {name for name, zone in self._zones.items() if zone.silent_since(now) < heard_at}
+        for server in self._ring if cut_off - self._cut_off else ():
+            if server.zone in cut_off - self._cut_off and server.idle:
+                # Its open connections are silent for good, and a trial on one is lost: a new one that
+                # does not come up has carried nothing, and the request goes elsewhere.
+                self._out.append(model.CloseIdle(server.name))
+                server.idle = 0
+        for name in cut_off - self._cut_off:
+            self._zones[name].tried_at = now
+            self._connect_ill = 0.0  # connections failed for that, and fail there no more
+        self._cut_off = cut_off
+
+    def _zone_trial(self, now: float, request: Request) -> list[Server]:
+        """A server of a zone that is held to be cut off, if its trial is due and there is time for others."""
+        left = request.useful_until() - now
+        if request.attempts or left < TRIAL_USUAL * self._usual() + self._set.connect_timeout:
+            return []
+        for name in sorted(self._cut_off):
+            zone = self._zones[name]
+            if now - zone.tried_at >= CUT_OFF_TRIAL_MS:
+                zone.tried_at = now
+                there = [s for s in self._ring if s.zone == name and self._cold_room(now, s)]
+                if there:
+                    return [there[int(self._rng.random() * len(there))]]
+        return []
+
     def _too_heavy(self, now: float, request: Request) -> bool:
         """Whether, under strain, a request would take a server and still come too late."""
         if request.profile.late_worth > 0.0 or self._shed.level(now) <= SHED_IDLE or not self._pace.work:
@@ -658,7 +750,9 @@
 
     def _draw(self, now: float, request: Request) -> list[Server]:
         """A few random servers, each as likely as its share of the capacity."""
-        drawn: list[Server] = []
+        if self._cut_off and (drawn := self._zone_trial(now, request)):
+            return drawn
+        drawn = []
         tried = [attempt.server for attempt in request.attempts if not attempt.stale]
         if self._set.warm_keys and request.key is not None:
             drawn = self._draw_for_key(now, request, request.key)
@@ -723,13 +817,14 @@
         A server that is cold or keeps pace badly passes a part of its keys down the order,
         as it would be drawn less often at random: hashing alone leaves hot servers hot.
         """
+        near = self._within_reach(now) if self._set.prices.get("Handshake") else self._ring
         share = (self._key_counts.get(key, 1) - 1) / KEY_MEMORY
-        width = max(KEY_LEAST, round(KEY_SPREAD * share * len(self._ring)))
+        width = max(KEY_LEAST, round(KEY_SPREAD * share * len(near)))
         mixed = key * HASH_MULTIPLIER & HASH_MASK
         tried = [attempt.server for attempt in request.attempts]
         crowd = max(KEY_CROWD_LEAST, KEY_CROWD * self._open / max(1, len(self._ring)))
         drawn: list[Server] = []
-        for server in sorted(self._ring, key=lambda server: server.rank(mixed)):
+        for server in sorted(near, key=lambda server: server.rank(mixed)):
             warmth = self._warmth(now, server)
             if (warmth < 1.0 and request.attempts) or server.open >= crowd:
                 continue
@@ -745,6 +840,23 @@
         self._rng.shuffle(drawn)
         return drawn
 
+    def _within_reach(self, now: float) -> list[Server]:
+        """So many servers, from this sidecar's place on, as its own rate keeps connections to.
+
+        Guards against a handshake for most requests where hundreds of sidecars ask little each, and
+        spread keys over all servers. As many for a rate everywhere, so that all servers get alike;
+        those in trouble are passed over for the next, so that the others never narrow."""
+        reach = max(KEY_REACH_LEAST, self._rate(now) * self._set.idle_close / KEY_USES)
+        if reach >= len(self._ring):
+            return self._ring
+        near: list[Server] = []
+        for server in self._ring:
+            if not server.strikes and now >= server.rest_until and not self._is_cut_off(now, server):
+                near.append(server)
+                if len(near) >= reach:
+                    return near
+        return self._ring
+
     def _capacity(self, now: float, server: Server) -> float:
         speed = server.kind_pace.speed * server.pace.speed
         capacity = server.weight * (speed if speed < SPEED_MOST else SPEED_MOST)
@@ -800,7 +912,7 @@
 
     def _fit(self, now: float, server: Server) -> bool:
         """Whether a server may be drawn; one that struck gets a single trial."""
-        if now < server.rest_until or not self._cold_room(now, server):
+        if now < server.rest_until or self._is_cut_off(now, server) or not self._cold_room(now, server):
             return False
         if server.open >= server.room + (now - server.room_at) / ROOM_REGAIN_MS:
             return False
@@ -813,6 +925,8 @@
             return  # its client went, or it was spoilt on our side: that tells nothing of the service
         if status == TIMEOUT and spent < self._patience_for(request):
             return  # its client waits for less than answers take
+        if self._was_silent(status, spent) and self._is_cut_off(now, server):
+            return  # nobody there was asked: no crowd, and no fault of this one
         late = spent > aim
         if status in (OK, FULL, TIMEOUT):
             self._shed.strain(now, self._strain(server, status, now), self._rate(now))
@@ -934,6 +1048,8 @@
             return
         if now - attempt.sent - request.profile.objective > STOOD_STILL_MS:
             return  # this sidecar stood still itself: its gap tells nothing of the servers
+        if self._is_cut_off(now, attempt.server):
+            return
         self._shed.strain(now, DUE_STRAIN, self._rate(now))
         if self._slowness < SLOW:
             self._blame(now, attempt.server, True, attempt.sent)
@@ -1080,6 +1196,7 @@
         server.used_at = now
         request.attempts.append(attempt)
         server.out[attempt] = None
+        self._zone(server).out[attempt] = None
         aim = request.profile.objective
         if timeout > aim:
             self._out.append(model.Timer(aim, f"{DUE}{request.id}:{len(request.attempts) - 1}"))
--- a/tests/poppypulley/test_departures.py
+++ b/tests/poppypulley/test_departures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 import pytest
@@ -390,3 +391,47 @@
             made.outcome(now, first, len(made._requests[first].attempts) - 1, Outcome.OK, 6.0, True)
     assert turned < 10
     assert made._servers["s0"].rest_until == 0.0
+
+
+def fleet_of_sidecars(count, servers, keys, rates, **changes):
+    """Sends by server and the share that needed a new connection, of many sidecars over 20 s.
+
+    A connection that has been unused for 4.5 s is closed, as the pool does."""
+    picks, fresh = Counter(), 0
+    for me in range(count):
+        rng = random.Random(me)
+        made = warm(servers=servers, me=me, seed=me, **changes)
+        used, now, number = {}, 0.0, 0
+        while True:
+            now += rng.expovariate(rates[me % len(rates)] / 1000.0)
+            if now > 20_000.0:
+                break
+            number += 1
+            key = rng.choices(range(keys), weights=[1.0 / (key + 1) for key in range(keys)])[0]
+            (send,) = of_type(made.request(now, Arrival(number, 0, now + 1000.0, key=key)), Send)
+            picks[send.server] += 1
+            fresh += now - used.get(send.server, -1e9) > 4500.0
+            used[send.server] = now
+            made.outcome(now + 20.0, number, 0, Outcome.OK, 20.0, last=True)
+    return picks, fresh / sum(picks.values())
+
+
+PRICED = {"Prices": {"Handshake": 0.03}, "PolicyLimits": {"MaxAttempts": 4, "IdleClose": 5000.0}}
+
+
+def test_many_sidecars_that_ask_little_use_their_connections_again_and_load_servers_alike():
+    # Found on calm+mass: 26,000 connections for 44,000 requests, since each key led to other servers.
+    rates = (4.0, 8.0, 24.0)
+    _, before = fleet_of_sidecars(60, 100, 600, rates)
+    picks, share = fleet_of_sidecars(60, 100, 600, rates, **PRICED)
+    assert share < 0.6 * before
+    mean = sum(picks.values()) / 100
+    assert len(picks) == 100 and max(picks.values()) < 2.5 * mean
+
+
+def test_a_sidecar_whose_servers_are_all_in_trouble_reaches_for_others():
+    made = warm(servers=60, **PRICED)
+    usual = set(sends_for(made, key=1, count=10))
+    for name in usual:
+        made._servers[name].rest_until = 1e9
+    assert not usual & set(sends_for(made, key=1, count=10, first=20, now=12_000.0))
--- a/tests/poppypulley/test_failures.py
+++ b/tests/poppypulley/test_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 
 from poppypulley import Balancer, Settings
@@ -294,3 +295,62 @@
             now += step
         levels.append(made._shed.level(now))
     assert levels[1] < 2.0 * levels[0] and levels[1] < 0.5
+
+
+def zones_of_servers(each=6, seed=1):
+    """A sidecar of zone 0 that has served from three zones of as many servers."""
+    commit = {"Semantics": "side_effect", "Objective": 600.0, "Deadline": 1000.0, "LateWorth": 0.5}
+    made = balancer(servers=0, seed=seed, Profiles=[commit], FailureDomains=["a", "b", "c"])
+    made.server_list(0.0, "all", [Listing(f"z{i % 3}-{i // 3}", zone=i % 3) for i in range(3 * each)])
+    return made
+
+
+def play_cut(made, silent, calls, now=0.0, gap=120.0):
+    """Requests in turn; zones in `silent` answer nothing. Gives the zone of each send, with its time."""
+    sent = []
+    waiting = {}
+    for _ in range(calls):
+        now += gap
+        for old, at in list(waiting.items()):
+            if now - at >= 900.0:
+                del waiting[old]
+                made.outcome(now, old, 0, Outcome.TIMEOUT, 900.0, last=True)
+        first = int(now * 10.0)
+        for send in of_type(made.request(now, arrival(first, now, left=900.0)), Send):
+            zone = int(send.server[1])
+            sent.append((now, zone))
+            if zone in silent and made._requests[first].attempts[-1].fresh:
+                again = made.outcome(now, first, 0, Outcome.CONNECT_FAILED, 250.0)
+                assert [int(to.server[1]) in silent for to in of_type(again, Send)] == [False]
+                made.outcome(now, first, 1, Outcome.OK, 40.0, last=True)
+            elif zone in silent:
+                waiting[first] = now
+            else:
+                made.outcome(now, first, 0, Outcome.OK, 40.0, last=True)
+    return sent
+
+
+def test_a_zone_that_falls_silent_is_left_after_two_of_its_servers_owe_answers():
+    # Found on zone+mass: at 8 requests a second each server's own silence told too late, and the
+    # quarter that may be ejected is less than a zone.
+    made = zones_of_servers()
+    play_cut(made, set(), 60)
+    sent = play_cut(made, {1}, 60, now=7200.0)
+    lost = [at - 7200.0 for at, zone in sent if zone == 1]
+    assert 2 <= len(lost) <= 16, "what is sent before it shows, and one trial each half second"
+    late = [at for at in lost if at > 1500.0]
+    assert len(late) >= 8 and all(second - first >= 500.0 for first, second in itertools.pairwise(late))
+
+
+def test_a_zone_that_answers_again_is_used_at_once():
+    made = zones_of_servers()
+    play_cut(made, {1}, 60)
+    back = play_cut(made, set(), 60, now=9000.0)
+    assert sum(zone == 1 for _, zone in back) >= 8
+
+
+def test_where_all_zones_are_silent_none_is_held_to_be_cut_off():
+    made = zones_of_servers()
+    play_cut(made, set(), 30)
+    play_cut(made, {0, 1, 2}, 4, now=3600.0)
+    assert not any(made._is_cut_off(5000.0, server) for server in made._ring)
