--- /dev/null
+++ b/benchmarks/fleet_size.py
@@ -0,0 +1,342 @@
+"""Days of 200 sidecars and 120 servers in virtual time: what each sidecar does alone, summed over all.
+
+`python -m benchmarks.fleet_size [--quick] [--seed N] [--json FILE] [--tree DIR] [--only NAME[,NAME]]
+[--sidecars N]`. The decision module (of another checkout with `--tree`) plays against the rig's modelled
+servers: calm, roll, herd, zone, split and join, after those of the standing fleet test
+(`docs/fleet-test.md`). The same seed gives the same day.
+
+Exit codes: 0 all days played with new connections for at most `FRESH_MOST` of the requests on calm, 1 not so,
+2 bad input.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from benchmarks.common import BAD_INPUT, DONE, NOT_MET, chosen, figure, options, table, write_json
+from poppypulley import model
+from poppypulley.model import Settings
+from rig.model import Make
+from rig.sim.policy import Asked, Flow, World
+
+ZONES = ("north", "middle", "south")
+SERVERS, QUICK_SERVERS = 120, 36
+SIDECARS, QUICK_SIDECARS = 200, 60
+RATE_A_SERVER = 11.0  # requests a second
+LENGTH_MS, QUICK_MS = 24_000.0, 12_000.0
+IDLE_MS, POOL_IDLE_SHARE = 5000.0, 0.9
+GRACE_MS = 2500.0  # from the last arrival on: all are over then
+KEYS = 3000
+WINDOW_MS = 5000.0  # over which the worst stretch is taken
+FRESH_MOST = 0.35  # new connections a request, on calm
+
+CLASSES = (
+    # name, share, work, io, aim, deadline, worth
+    ("port-check", 0.63, 35.0, 84.0, 600.0, 2000.0, 10.0),
+    ("port-commit", 0.37, 43.5, 106.0, 1500.0, 5000.0, 2.0),
+)
+
+
+def settings(me: int, sidecars: int) -> Settings:
+    """What a sidecar is told."""
+    return Settings.parse(
+        {
+            "Profiles": [
+                {
+                    "Semantics": "token" if name == "port-check" else "side_effect",
+                    "Group": "zone",
+                    "KeyTtl": 1200.0,
+                    "Objective": aim,
+                    "Deadline": deadline,
+                    "LateWorth": 0.5,
+                    "Worth": worth,
+                }
+                for name, _, _, _, aim, deadline, worth in CLASSES
+            ],
+            "FailureDomains": list(ZONES),
+            "Locality": me % len(ZONES),
+            "Domain": {"WarmKeys": True},
+            "Me": me,
+            "Balancers": sidecars,
+            "Discovery": "automatic",
+            "WorthBy": "work",
+            "Prices": {"Connection": 0.03, "Handshake": 0.03, "CrossZone": 0.01},
+            "PolicyLimits": {
+                "MaxAttempts": 3,
+                "ConnectTimeout": 250.0,
+                "IdleClose": IDLE_MS,
+                "RetryAfter": True,
+            },
+            "Rules": {"ColdFrom": 0.31, "WarmUp": 7800.0, "FallMultiple": 3.0, "OverloadFor": 2000.0},
+        }
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How large a day is."""
+
+    servers: int
+    sidecars: int
+    length_ms: float
+
+
+class Day:
+    """One day: the world, what happens in it, and what it came to."""
+
+    def __init__(self, size: Size, seed: int, balancer: Callable[[float, Settings, int], Any]) -> None:
+        self.size = size
+        self.rng = random.Random(f"fleet_size/{seed}")
+        names = [f"s{number}" for number in range(size.servers)]
+        self.zones = {name: number % len(ZONES) for number, name in enumerate(names)}
+        speeds = [self.rng.choice((0.6, 1.0)) * self.rng.uniform(0.85, 1.15) for _ in names]
+        self.makes = {
+            name: Make(
+                speed=speed,
+                slots=16,
+                queue=300,
+                key_saving=0.5,
+                key_memory_ms=8000.0,
+                keys=70,
+                warm_up_ms=6000.0,
+            )
+            for name, speed in zip(names, speeds, strict=True)
+        }
+        self.world = World(
+            self.makes,
+            balancer=lambda me, own: balancer(0.0, settings(me, size.sidecars), own),
+            sidecars=size.sidecars,
+            seed=seed,
+            half_ms=0.6,
+            zones=self.zones,
+            idle_ms=IDLE_MS * POOL_IDLE_SHARE,
+        )
+        self.world.zone_of = lambda number: number % len(ZONES)
+        # Most sidecars see little, and some several times the mean.
+        weights = tuple(self.rng.gammavariate(2.0, 1.0) for _ in range(size.sidecars))
+        for band, (name, share, work, io, aim, deadline, worth) in enumerate(CLASSES):
+            flow = Flow(
+                rate_per_s=RATE_A_SERVER * size.servers * share,
+                budget_ms=deadline,
+                work_ms=work,
+                io_ms=io,
+                spread=0.8,
+                band=band,
+                aim_ms=aim,
+                retries=1,
+                weights=weights,
+                keys=KEYS,
+                key_zipf=1.0,
+                worth=worth,
+                name=name,
+            )
+            self.world.flow(flow, size.length_ms)
+
+    # --- what happens ------------------------------------------------------------------
+
+    def restart_sidecars(
+        self, share: float, away_ms: tuple[float, float], from_ms: float, over_ms: float
+    ) -> None:
+        """So many are killed within `over_ms`, and return with the list as it was at the start."""
+        known = [host.listing for host in self.world.hosts.values()]
+        count = round(share * self.size.sidecars)
+        for number in self.rng.sample(range(self.size.sidecars), count):
+            at_ms = from_ms + self.rng.random() * over_ms
+            back_ms = at_ms + self.rng.uniform(*away_ms)
+            self.world.at(at_ms, lambda n=number, back=back_ms: self.world.kill(n, back, known))  # type: ignore[misc]
+
+    def replace_servers(self, share: float, from_ms: float, over_ms: float) -> None:
+        """So many drain and go, each for a new one that is cold; all hear of it 0.3 to 1.6 s late."""
+        world = self.world
+        for number in self.rng.sample(range(self.size.servers), round(share * self.size.servers)):
+            old, new = f"s{number}", f"t{number}"
+            at_ms = from_ms + self.rng.random() * over_ms
+
+            def swap(old: str = old, new: str = new) -> None:
+                listing = model.Listing(new, self.zones[old], started=world.now)
+                world.add(new, self.makes[old], listing)
+                for me in range(self.size.sidecars):
+                    entries = [model.Listing(old, self.zones[old], state="left"), listing]
+                    told_ms = world.now + self.rng.uniform(300.0, 1600.0)
+                    world.at(told_ms, lambda me=me, entries=entries: world.tell("changes", entries, [me]))  # type: ignore[misc]
+
+            world.at(at_ms, swap)
+
+    def lose_zone(self, zone: int, from_ms: float, lasts_ms: float) -> None:
+        """All of its servers vanish without a word and return."""
+        for name in [name for name, of in self.zones.items() if of == zone]:
+            host = self.world.hosts[name]
+            self.world.at(from_ms, lambda host=host: host.vanish(from_ms + lasts_ms))  # type: ignore[misc]
+
+    def cut_zone(self, zone: int, from_ms: float, lasts_ms: float) -> None:
+        """No way between it and the others, either way."""
+        others = [other for other in range(len(ZONES)) if other != zone]
+        pairs = [(zone, other) for other in others] + [(other, zone) for other in others]
+        self.world.at(from_ms, lambda: self.world.cut(pairs, from_ms + lasts_ms))
+
+    def make_slow(self, share: float, from_ms: float) -> None:
+        """So many servers stand still for 300 ms each second."""
+        for number in self.rng.sample(range(self.size.servers), round(share * self.size.servers)):
+            host = self.world.hosts[f"s{number}"]
+            at_ms = from_ms
+            while at_ms < self.size.length_ms:
+                self.world.at(at_ms, lambda host=host: host.stand_still(300.0))  # type: ignore[misc]
+                at_ms += self.rng.uniform(800.0, 1200.0)
+
+    # --- what it came to ---------------------------------------------------------------
+
+    def play(self) -> dict[str, float]:
+        """Play it to its end; the figures, shares of 1 unless their names say more."""
+        self.world.run(self.size.length_ms + GRACE_MS)
+        rows = [asked for asked in self.world.asked if asked.at_ms < self.size.length_ms]
+        by_window: dict[int, list[Asked]] = {}
+        for asked in rows:
+            by_window.setdefault(int(asked.at_ms // WINDOW_MS), []).append(asked)
+        opened, requests = self.world.told.opened, max(1, len(rows))
+        sends = Counter(self.world.told.sends)
+        mean = sum(sends.values()) / max(1, len(self.world.hosts))
+        return {
+            "served": _served(rows),
+            "worst": min(map(_served, by_window.values()), default=0.0),
+            "refused": sum(asked.end == "refused" for asked in rows) / requests,
+            "failed": sum(asked.end in (None, "failed", "unanswered") for asked in rows) / requests,
+            "fresh": opened / requests,
+            "connections_a_sidecar": self.world.connections_ms / self.world.now / self.size.sidecars,
+            "sends_a_request": self.world.sends / requests,
+            "busiest_over_mean": max(sends.values(), default=0) / max(1.0, mean),
+        }
+
+
+def _served(rows: list[Asked]) -> float:
+    """The worth served, late answers at half, over the worth asked for; worth goes by the work."""
+    worth = {"served": 1.0, "late": 0.5}
+    whole = sum(asked.flow.worth * asked.work_ms for asked in rows)
+    return sum(asked.flow.worth * asked.work_ms * worth.get(asked.end or "", 0.0) for asked in rows) / (
+        whole or 1.0
+    )
+
+
+def calm(day: Day) -> None:
+    """No fault."""
+
+
+def roll(day: Day) -> None:
+    """Half of the servers are replaced while all sidecars are restarted."""
+    length = day.size.length_ms
+    day.replace_servers(0.5, 0.2 * length, 0.6 * length)
+    day.restart_sidecars(1.0, (300.0, 600.0), 0.2 * length, 0.6 * length)
+
+
+def herd(day: Day) -> None:
+    """Seven in ten sidecars are killed at once, and one of eight servers is bad."""
+    day.make_slow(0.125, 0.2 * day.size.length_ms)
+    day.restart_sidecars(0.7, (1100.0, 5000.0), 0.4 * day.size.length_ms, 200.0)
+
+
+def zone(day: Day) -> None:
+    """A zone is lost for 5 s; later another is cut off from the others; one of eight servers is bad."""
+    length = day.size.length_ms
+    day.make_slow(0.125, 0.0)
+    day.lose_zone(1, 0.2 * length, min(5000.0, 0.25 * length))
+    day.cut_zone(2, 0.6 * length, min(5000.0, 0.25 * length))
+
+
+def split(day: Day) -> None:
+    """A zone is cut off for 6 s."""
+    day.cut_zone(0, 0.3 * day.size.length_ms, min(6000.0, 0.4 * day.size.length_ms))
+
+
+def join(day: Day) -> None:
+    """Six in ten servers are replaced within 7 s."""
+    day.replace_servers(0.6, 0.3 * day.size.length_ms, min(7000.0, 0.5 * day.size.length_ms))
+
+
+DAYS: dict[str, Callable[[Day], None]] = {
+    "calm": calm, "roll": roll, "herd": herd, "zone": zone, "split": split, "join": join,
+}  # fmt: skip
+HEADS = (
+    "day",
+    "served%",
+    "worst 5 s",
+    "refused%",
+    "failed%",
+    "new conn/req",
+    "conn held",
+    "sends/req",
+    "busiest/mean",
+)
+
+
+def balancer_of(tree: Path) -> Callable[[float, Settings, int], Any]:
+    """The decision module of a checkout; `ValueError` where it can't be loaded."""
+    path = tree / "poppypulley" / "balancer.py"
+    spec = importlib.util.spec_from_file_location("balancer_of_tree", path)
+    if spec is None or spec.loader is None:
+        raise ValueError(f"{path}: can't be loaded")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[spec.name] = module
+    try:
+        spec.loader.exec_module(module)
+    except (OSError, SyntaxError, ImportError) as error:
+        raise ValueError(f"{path}: {error}") from error
+    made: Callable[[float, Settings, int], Any] = module.Balancer
+    return made
+
+
+def cells(name: str, row: dict[str, float]) -> list[str]:
+    """A day as the table shows it."""
+    percent = [figure(100.0 * row[key], ".1f") for key in ("served", "worst", "refused", "failed")]
+    rest = [figure(row["fresh"], ".3f"), figure(row["connections_a_sidecar"], ".1f")]
+    return [
+        name,
+        *percent,
+        *rest,
+        figure(row["sends_a_request"], ".3f"),
+        figure(row["busiest_over_mean"], ".2f"),
+    ]
+
+
+def main() -> int:
+    """Play, print and judge; the exit code."""
+    made = options("fleet_size", __doc__)
+    made.add_argument(
+        "--quick", action="store_true", help=f"{QUICK_SIDECARS} sidecars, {QUICK_SERVERS} servers"
+    )
+    made.add_argument("--only", metavar="NAME[,NAME]", help=f"of {', '.join(DAYS)}")
+    made.add_argument("--sidecars", type=int, help="how many share the same traffic")
+    given = made.parse_args()
+    names = chosen(given.only, list(DAYS), made)
+    if given.sidecars is not None and given.sidecars < 1:
+        made.error("--sidecars: at least one")
+    size = Size(
+        QUICK_SERVERS if given.quick else SERVERS,
+        given.sidecars or (QUICK_SIDECARS if given.quick else SIDECARS),
+        QUICK_MS if given.quick else LENGTH_MS,
+    )
+    try:
+        balancer = balancer_of(given.tree)
+    except ValueError as error:
+        print(error, file=sys.stderr)
+        return BAD_INPUT
+    rows = {}
+    for name in names:
+        day = Day(size, given.seed, balancer)
+        DAYS[name](day)
+        rows[name] = day.play()
+        print(f"{name}: played", file=sys.stderr, flush=True)
+    print(table(HEADS, [cells(name, row) for name, row in rows.items()]))
+    met = rows["calm"]["fresh"] <= FRESH_MOST if "calm" in rows else True
+    told = {"seed": given.seed, "servers": size.servers, "sidecars": size.sidecars, "met": met, "days": rows}
+    write_json(given.json, given.tree, told)
+    return DONE if met else NOT_MET
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rig/sim/policy.py
+++ b/rig/sim/policy.py
@@ -25,7 +25,7 @@
 
 CONNECT_MS = 250.0
 EVENTS_MOST = 50_000_000
-STOOD_STILL_MS = 100.0
+SWEEP_MS = 200.0
 
 
 class Decides(Protocol):
@@ -69,8 +69,11 @@
     try_share: float = 1.0  # of the budget, for one try
     honours: bool = True  # whether it waits as a refusal says
     again: tuple[End, ...] = ("refused",)  # what it tries again after
-    sidecars: tuple[int, ...] = ()  # which it comes to; none: all alike
+    sidecars: tuple[int, ...] = ()  # which it comes to; none: all
+    weights: tuple[float, ...] = ()  # of those; none: all alike
     keys: int = 0
+    key_zipf: float = 0.0  # exponent of their popularity; 0: all alike
+    worth: float = 1.0
     name: str = ""
 
 
@@ -141,7 +144,7 @@
         self.errs: Callable[[Asked], bool] = lambda _: False
         self.error_ms = 1.0
         self.machine = Machine(make, world.repeats, -1e9, cold=False)
-        self.held: dict[Sidecar, int] = {}  # idle connections
+        self.held: dict[Sidecar, list[float]] = {}  # idle connections, by when each was last used
         self._jobs: dict[int, Attempt] = {}
         self._wake_ms = math.inf
 
@@ -172,6 +175,15 @@
 
         self._world.at(back_ms, back)
 
+    def sweep(self, since_ms: float) -> None:
+        """Close what has been idle for longer."""
+        for sidecar, idle in list(self.held.items()):
+            while idle and idle[0] < since_ms:
+                idle.pop(0)
+                self.machine.disconnect()
+            if not idle:
+                del self.held[sidecar]
+
     def stand_still(self, for_ms: float) -> None:
         """Its process stands still: the kernel takes what comes, nothing is answered."""
         self.machine.stall(self._world.now, for_ms)
@@ -189,6 +201,8 @@
                 status = Outcome.CONNECT_FAILED if fresh else Outcome.RESET
                 world.ended(attempt, status, world.half_ms)
             return  # a silent one says nothing
+        if world.is_cut(attempt.sidecar, self):
+            return
         world.told.sends[self.name] += 1
         world.told.seconds[int(world.now // 1000.0)] += 1
         if (self.error_share and world.rng.random() < self.error_share) or self.errs(asked):
@@ -241,7 +255,7 @@
             attempt = self._jobs.pop(id(ended.job), None)
             if attempt is None:
                 continue
-            if self.how == "up" and ended.end == "done":
+            if self.how == "up" and ended.end == "done" and not self._world.is_cut(attempt.sidecar, self):
                 self._world.ended(attempt, Outcome.OK, self._world.half_ms)
         self._wake()
 
@@ -258,6 +272,11 @@
         self._next = itertools.count(1)
         self._usable: set[str] = set()
 
+    @property
+    def open_requests(self) -> list[Try]:
+        """Those that it has taken and not answered."""
+        return [request for request in self._requests.values() if not request.answered]
+
     def told(self, form: str, entries: Sequence[model.Listing]) -> None:
         """News of the servers."""
         self._act(self.balancer.server_list(self._world.now, form, entries))
@@ -298,7 +317,7 @@
                     self._cancel(number, hop)
                 case model.CloseIdle(server):
                     host = world.hosts[server]
-                    for _ in range(host.held.pop(self, 0)):
+                    for _ in host.held.pop(self, ()):
                         host.machine.disconnect()
                 case model.Log(text):
                     world.log.append((world.now, self.number, text))
@@ -323,16 +342,17 @@
         world.sends += 1
         wait = min(timeout, request.give_up_ms - world.now)
         world.at(world.now + wait, lambda: self._expire(attempt))
-        fresh = not host.held.get(self, 0)
-        if not fresh:
-            host.held[self] -= 1
+        cut = world.is_cut(self, host)
+        if idle := host.held.get(self):
+            idle.pop()  # the newest, as the pool does
             attempt.connected = True
-            world.at(world.now + world.half_ms, lambda: host.reached(attempt, False))
+            if not cut:
+                world.at(world.now + world.half_ms, lambda: host.reached(attempt, False))
             return
-        if host.how == "refusing":
+        if host.how == "refusing" and not cut:
             world.refused_connects += 1
             world.ended(attempt, Outcome.CONNECT_FAILED, 2.0 * world.half_ms)
-        elif host.how == "silent":
+        elif host.how == "silent" or cut:
             world.silent_sends[host.name] += 1
             world.at(world.now + CONNECT_MS, lambda: world.end(attempt, Outcome.CONNECT_FAILED))
         else:
@@ -360,7 +380,7 @@
         request.out -= 1
         if status in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             if attempt.connected:
-                attempt.host.held[self] = attempt.host.held.get(self, 0) + 1
+                attempt.host.held.setdefault(self, []).append(world.now)
                 attempt.connected = False
         else:
             attempt.host.drop(attempt)
@@ -395,8 +415,10 @@
         zones: Mapping[str, int] | None = None,
         listed: bool = True,
         window_ms: float = 1200.0,
+        idle_ms: float = math.inf,
     ) -> None:
-        """`balancer` makes one for a sidecar's number and seed; `half_ms`: one way of the network."""
+        """`balancer` makes one for a sidecar's number and seed; `half_ms`: one way of the network;
+        `idle_ms`: when a connection that nobody uses is closed."""
         self.now = 0.0
         self.rng = random.Random(f"world/{seed}")
         self.half_ms = half_ms
@@ -419,10 +441,61 @@
             )
             for name, make in makes.items()
         }
-        self.sidecars = [Sidecar(self, n, balancer(n, seed * 1009 + n)) for n in range(sidecars)]
+        self._make, self._seed, self._starts = balancer, seed, itertools.count()
+        self._idle_ms = idle_ms
+        self.cuts: set[tuple[int, int]] = set()  # zones of sidecars and servers without a way between them
+        self.zone_of: Callable[[int], int] = lambda _: 0  # of a sidecar's number
+        self.connections_ms = 0.0  # held by all sidecars, summed over time
+        self.sidecars = [self._sidecar(n) for n in range(sidecars)]
+        if idle_ms < math.inf:
+            self.at(SWEEP_MS, self._sweep)
         if listed:
             self.tell("remembered", [host.listing for host in self.hosts.values()])
 
+    def _sidecar(self, number: int) -> Sidecar:
+        return Sidecar(
+            self, number, self._make(number, (self._seed * 1009 + number) * 16 + next(self._starts) % 16)
+        )
+
+    def _sweep(self) -> None:
+        for host in self.hosts.values():
+            host.sweep(self.now - self._idle_ms)
+            self.connections_ms += host.machine.connections * SWEEP_MS
+        self.at(self.now + SWEEP_MS, self._sweep)
+
+    def is_cut(self, sidecar: Sidecar, host: Host) -> bool:
+        """Whether nothing of one reaches the other."""
+        return bool(self.cuts) and (self.zone_of(sidecar.number), host.listing.zone) in self.cuts
+
+    def cut(self, pairs: Iterable[tuple[int, int]], back_ms: float) -> None:
+        """No way between these zones until then; connections stay open and silent."""
+        pairs = set(pairs)
+        self.cuts |= pairs
+        self.at(back_ms, lambda: self.cuts.difference_update(pairs))
+
+    def kill(self, number: int, back_ms: float, known: Sequence[model.Listing]) -> None:
+        """End a sidecar at once, with all that it had learned and taken; it comes back with that list."""
+        old = self.sidecars[number]
+        old.alive = False
+        for host in self.hosts.values():
+            for _ in host.held.pop(old, ()):
+                host.machine.disconnect()
+        for request in old.open_requests:
+            for attempt in request.attempts:
+                attempt.host.drop(attempt)
+            self.answered(request, "unanswered", 0.0)
+
+        def back() -> None:
+            self.sidecars[number] = self._sidecar(number)
+            self.tell("remembered", known, [number])
+
+        self.at(back_ms, back)
+
+    def add(self, name: str, make: Make, listing: model.Listing) -> None:
+        """A new server, cold; nobody is told of it yet."""
+        host = self.hosts[name] = Host(self, name, make, listing)
+        host.start()
+
     def at(self, when_ms: float, what: Callable[[], None]) -> None:
         """Do that then; not before now."""
         heapq.heappush(self._heap, (max(when_ms, self.now), next(self._order), what))
@@ -450,14 +523,16 @@
         gap_ms = 1000.0 / flow.rate_per_s
         until_ms = min(flow.until_ms, length_ms)
         where = flow.sidecars or tuple(range(len(self.sidecars)))
+        odds = list(itertools.accumulate(flow.weights or [1.0] * len(where)))
+        popular = list(itertools.accumulate((k + 1) ** -flow.key_zipf for k in range(flow.keys)))
         while (now_ms := now_ms + (gap_ms if flow.even else rng.expovariate(1.0 / gap_ms))) < until_ms:
             asked = Asked(
                 flow,
                 now_ms,
-                rng.choice(where),
+                rng.choices(where, cum_weights=odds)[0],
                 flow.work_ms * rng.uniform(1.0 - flow.spread, 1.0 + flow.spread),
                 flow.io_ms * rng.uniform(1.0 - flow.spread, 1.0 + flow.spread),
-                rng.randrange(flow.keys) if flow.keys else None,
+                rng.choices(range(flow.keys), cum_weights=popular)[0] if flow.keys else None,
                 f"t{len(self.asked)}",
             )
             self.asked.append(asked)
