--- /dev/null
+++ b/rig/cluster/schedules.py
@@ -0,0 +1,369 @@
+"""Schedules of faults between nodes, as data: read, written, drawn by a seed, and shrunk. Pure.
+
+A file is JSON, one object a line: the first line is the `Head`, each further one a `Step`, in the order of
+their times. The same schedule is written byte for byte alike, and the same seed draws the same one. Bad input
+raises `ScheduleError`, whose text is one line that names the file, the line and the field.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import ClassVar, Literal, TypeVar
+
+import msgspec
+from msgspec import Struct
+
+T = TypeVar("T")
+
+FORMAT = 1
+NODES_MOST = 200
+STEPS_MOST = 10_000
+LENGTH_MOST_MS = 3_600_000
+SHRINK_TRIES = 400
+
+Disk = Literal["kept", "emptied", "older"]
+Way = Literal[
+    "cut", "stall", "loss", "late", "reorder", "double", "narrow", "reset", "half_open", "flip"
+]  # what a link does to what it carries
+Writes = Literal["lose", "torn", "lie", "eio_once", "eio", "full", "slow", "changed", "lost_rename"]
+
+
+class ScheduleError(ValueError):
+    """A schedule that is none; its text is one line."""
+
+
+class Head(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a schedule is for: so many nodes, n0 and on, for so long. Times are milliseconds."""
+
+    format: int
+    seed: int
+    nodes: int
+    length_ms: int
+
+
+class Link(Struct, frozen=True, tag_field="kind", tag="link", forbid_unknown_fields=True):
+    """A fault on each link from one of `src` to one of `dst`, in that direction only.
+
+    `amount`: a share of messages or connections for loss, reorder, double, reset, half_open and flip,
+    milliseconds for late, bytes a second for narrow; cut and stall have none."""
+
+    at_ms: int
+    lasts_ms: int
+    way: Way
+    src: tuple[str, ...]
+    dst: tuple[str, ...]
+    amount: float = 0.0
+
+
+class Kill(Struct, frozen=True, tag_field="kind", tag="kill", forbid_unknown_fields=True):
+    """SIGKILL, and a start after `lasts_ms` with its disk kept, emptied, or put back to an older copy."""
+
+    at_ms: int
+    lasts_ms: int
+    node: str
+    disk: Disk = "kept"
+
+
+class Stop(Struct, frozen=True, tag_field="kind", tag="stop", forbid_unknown_fields=True):
+    """SIGSTOP and SIGCONT. With a `share` below 1 it stands still for that part of each 100 ms: starved."""
+
+    at_ms: int
+    lasts_ms: int
+    node: str
+    share: float = 1.0
+
+
+class DiskFault(Struct, frozen=True, tag_field="kind", tag="disk", forbid_unknown_fields=True):
+    """What a node's disk does to what is written, synced and read."""
+
+    at_ms: int
+    lasts_ms: int
+    node: str
+    writes: Writes
+
+
+class Clock(Struct, frozen=True, tag_field="kind", tag="clock", forbid_unknown_fields=True):
+    """A node's clock jumps by `jump_ms` and drifts by `drift_ppm` until it is put right at the end."""
+
+    at_ms: int
+    lasts_ms: int
+    node: str
+    jump_ms: int = 0
+    drift_ppm: int = 0
+
+
+Step = Link | Kill | Stop | DiskFault | Clock
+KINDS = ("links", "processes", "disks", "clocks")
+WAYS: tuple[Way, ...] = (
+    "cut",
+    "stall",
+    "loss",
+    "late",
+    "reorder",
+    "double",
+    "narrow",
+    "reset",
+    "half_open",
+    "flip",
+)
+SHARES: tuple[Way, ...] = ("loss", "reorder", "double", "reset", "half_open", "flip")
+WRITES: tuple[Writes, ...] = (
+    "lose",
+    "torn",
+    "lie",
+    "eio_once",
+    "eio",
+    "full",
+    "slow",
+    "changed",
+    "lost_rename",
+)
+
+
+class Schedule(Struct, frozen=True):
+    """A head and its steps, in the order of their times."""
+
+    head: Head
+    steps: tuple[Step, ...] = ()
+
+    LINE: ClassVar[msgspec.json.Decoder[Step]] = msgspec.json.Decoder(Step)
+
+    @property
+    def healed_ms(self) -> int:
+        """When the last fault is over; 0 where there is none."""
+        return max((step.at_ms + step.lasts_ms for step in self.steps), default=0)
+
+    def encode(self) -> bytes:
+        """As a file holds it."""
+        lines = [msgspec.json.encode(part) for part in (self.head, *self.steps)]
+        return b"\n".join(lines) + b"\n"
+
+
+def names(count: int) -> list[str]:
+    """n0, n1 and on."""
+    return [f"n{number}" for number in range(count)]
+
+
+def read(text: bytes, file: str) -> Schedule:
+    """A schedule from what a file holds; `ScheduleError` names the file, the line and the field."""
+    lines = text.split(b"\n")
+    if lines and not lines[-1]:
+        lines.pop()
+    if not lines:
+        raise ScheduleError(f"{file}:1: empty: a line with format, seed, nodes and length_ms is wanted")
+    if len(lines) > STEPS_MOST + 1:
+        raise ScheduleError(f"{file}:{STEPS_MOST + 2}: more than {STEPS_MOST} steps")
+    head = _decoded(lines[0], file, 1, lambda line: msgspec.json.decode(line, type=Head))
+    wrong = _wrong_head(head)
+    if wrong:
+        raise ScheduleError(f"{file}:1: {wrong}")
+    steps: list[Step] = []
+    for number, line in enumerate(lines[1:], 2):
+        step = _decoded(line, file, number, Schedule.LINE.decode)
+        wrong = wrong_step(step, head)
+        if not wrong and steps and step.at_ms < steps[-1].at_ms:
+            wrong = f"at_ms: {step.at_ms} is before the step above, at {steps[-1].at_ms}"
+        if wrong:
+            raise ScheduleError(f"{file}:{number}: {wrong}")
+        steps.append(step)
+    return Schedule(head, tuple(steps))
+
+
+def _decoded(line: bytes, file: str, number: int, decode: Callable[[bytes], T]) -> T:
+    try:
+        return decode(line)
+    except msgspec.ValidationError as error:
+        reason, _, where = str(error).partition(" - at `$.")
+        raise ScheduleError(f"{file}:{number}: {where.rstrip('`') or 'line'}: {reason}") from None
+    except msgspec.DecodeError as error:
+        raise ScheduleError(f"{file}:{number}: line: {error}") from None
+
+
+def _wrong_head(head: Head) -> str:
+    if head.format != FORMAT:
+        return f"format: {head.format} is not known, only {FORMAT}"
+    if not 1 <= head.nodes <= NODES_MOST:
+        return f"nodes: {head.nodes} is not from 1 to {NODES_MOST}"
+    if not 1 <= head.length_ms <= LENGTH_MOST_MS:
+        return f"length_ms: {head.length_ms} is not from 1 to {LENGTH_MOST_MS}"
+    return ""
+
+
+def wrong_step(step: Step, head: Head) -> str:
+    """The first field that makes no sense, and why; empty where all do."""
+    if not 0 <= step.at_ms < head.length_ms:
+        return f"at_ms: {step.at_ms} is not from 0 to before {head.length_ms}"
+    if not 1 <= step.lasts_ms <= head.length_ms - step.at_ms:
+        return f"lasts_ms: {step.lasts_ms} is not from 1 to the end, {head.length_ms - step.at_ms} later"
+    known = set(names(head.nodes))
+    if not isinstance(step, Link):
+        if step.node not in known:
+            return f"node: no {step.node!r} of {head.nodes}"
+        if isinstance(step, Stop) and not 0.0 < step.share <= 1.0:
+            return f"share: {step.share:g} is not above 0 and up to 1"
+        if isinstance(step, Clock) and not (
+            abs(step.drift_ppm) <= 100_000 and abs(step.jump_ms) <= LENGTH_MOST_MS
+        ):
+            return "drift_ppm: no clock drifts or jumps so far"
+        return ""
+    for field, ends in (("src", step.src), ("dst", step.dst)):
+        for end in ends:
+            if end not in known and end not in OUTSIDE:
+                return f"{field}: no {end!r} of {head.nodes}"
+        if not ends:
+            return f"{field}: empty"
+    if step.way in SHARES and not 0.0 < step.amount <= 1.0:
+        return f"amount: {step.amount:g} of {step.way} is not a share above 0"
+    if step.way in ("late", "narrow") and not 0.0 < step.amount <= 1e9:
+        return f"amount: {step.amount:g} of {step.way} is not above 0"
+    return ""
+
+
+OUTSIDE = ("registry", "clients", "servers")  # ends of links that are no nodes
+
+
+# --- drawing -----------------------------------------------------------------------------------
+
+
+def draw(seed: int, nodes: int, length_ms: int, kinds: Sequence[str] = KINDS, steps: int = 12) -> Schedule:
+    """A schedule by swarm testing: a random part of the kinds is on, and faults overlap more often than not.
+
+    Each draw has a random stream of its own, named after what it is for, so that taking one step out changes
+    no other. All faults are over at three quarters of the length."""
+    unknown = [kind for kind in kinds if kind not in KINDS]
+    if unknown or not kinds:
+        raise ScheduleError(f"faults: no {', '.join(unknown) or 'kinds'}; there are {', '.join(KINDS)}")
+    head = Head(FORMAT, seed, nodes, length_ms)
+    wrong = _wrong_head(head)
+    if wrong:
+        raise ScheduleError(f"draw: {wrong}")
+    swarm = random.Random(f"{seed}/swarm")
+    on = [kind for kind in kinds if swarm.random() < 0.6] or [swarm.choice(list(kinds))]
+    ways = [way for way in WAYS if swarm.random() < 0.5] or [swarm.choice(WAYS)]
+    # Faults meet in a few stretches of time rather than anywhere.
+    centres = [swarm.uniform(0.1, 0.5) * length_ms for _ in range(2)]
+    made = []
+    for number in range(steps):
+        rng = random.Random(f"{seed}/step/{number}")
+        kind = rng.choice(on)
+        at_ms = round(min(0.6 * length_ms, max(0.0, rng.gauss(rng.choice(centres), 0.06 * length_ms))))
+        lasts_ms = max(1, min(round(rng.uniform(0.02, 0.25) * length_ms), round(0.75 * length_ms) - at_ms))
+        made.append(_draw_step(rng, kind, at_ms, lasts_ms, nodes, ways))
+    return Schedule(head, tuple(sorted(made, key=lambda step: (step.at_ms, msgspec.json.encode(step)))))
+
+
+def _draw_step(
+    rng: random.Random, kind: str, at_ms: int, lasts_ms: int, nodes: int, ways: Sequence[Way]
+) -> Step:
+    every = names(nodes)
+    node = rng.choice(every)
+    if kind == "processes":
+        if rng.random() < 0.5:
+            return Kill(at_ms, lasts_ms, node, rng.choice(("kept", "kept", "emptied", "older")))
+        return Stop(at_ms, lasts_ms, node, rng.choice((1.0, 1.0, 0.5, 0.9)))
+    if kind == "disks":
+        return DiskFault(at_ms, lasts_ms, node, rng.choice(WRITES))
+    if kind == "clocks":
+        return Clock(at_ms, lasts_ms, node, rng.choice((0, -10_000, 10_000, 300)), rng.choice((0, 500, -500)))
+    way = rng.choice(ways)
+    src, dst = draw_ends(rng, every)
+    amount = 0.0
+    if way in SHARES:
+        amount = round(rng.uniform(0.05, 0.9), 2)
+    elif way == "late":
+        amount = float(rng.choice((20, 100, 400, 1500)))
+    elif way == "narrow":
+        amount = float(rng.choice((200, 2_000, 20_000)))
+    return Link(at_ms, lasts_ms, way, tuple(src), tuple(dst), amount)
+
+
+def draw_ends(rng: random.Random, every: Sequence[str]) -> tuple[list[str], list[str]]:
+    """Which links: one, all to or from a node, between two halves one way, or from outside."""
+    shape = rng.choice(("one", "to", "from", "split", "outside"))
+    node = rng.choice(every)
+    others = [name for name in every if name != node] or [node]
+    if shape == "one":
+        return [node], [rng.choice(others)]
+    if shape == "to":
+        return others, [node]
+    if shape == "from":
+        return [node], others
+    if shape == "outside":
+        return [rng.choice(OUTSIDE)], [node]
+    half = sorted(rng.sample(every, max(1, len(every) // 2)))
+    return half, [name for name in every if name not in half] or [node]
+
+
+# --- groups and bridges ------------------------------------------------------------------------
+
+
+def split(at_ms: int, lasts_ms: int, groups: Sequence[Sequence[str]], way: Way = "cut") -> list[Link]:
+    """No way between groups, in either direction."""
+    made = []
+    for one, other in itertools.permutations(groups, 2):
+        made.append(Link(at_ms, lasts_ms, way, tuple(one), tuple(other)))
+    return made
+
+
+def bridge(at_ms: int, lasts_ms: int, left: Sequence[str], middle: str, right: Sequence[str]) -> list[Link]:
+    """Two groups that only reach one another's bridge, which reaches both."""
+    return split(at_ms, lasts_ms, ([n for n in left if n != middle], [n for n in right if n != middle]))
+
+
+def ring(at_ms: int, lasts_ms: int, every: Sequence[str]) -> list[Link]:
+    """Each node reaches only the two next to it."""
+    count = len(every)
+    made = []
+    for place, node in enumerate(every):
+        near = {node, every[(place + 1) % count], every[(place - 1) % count]}
+        far = tuple(name for name in every if name not in near)
+        if far:
+            made.append(Link(at_ms, lasts_ms, "cut", (node,), far))
+    return made
+
+
+# --- shrinking ---------------------------------------------------------------------------------
+
+
+def shrink(schedule: Schedule, fails: Callable[[Schedule], bool], tries: int = SHRINK_TRIES) -> Schedule:
+    """A smaller schedule that still fails: steps are taken out, then times and ends made smaller.
+
+    `fails` plays one; it is asked `tries` times at most. What is given must fail, or it comes back whole."""
+    left = tries
+    best = schedule
+    going = True
+    while going and left > 0:
+        going = False
+        for smaller in _smaller(best):
+            if left <= 0:
+                break
+            left -= 1
+            if fails(smaller):
+                best, going = smaller, True
+                break
+    return best
+
+
+def _smaller(schedule: Schedule) -> Iterator[Schedule]:
+    """Each schedule one move smaller, the largest moves first."""
+    steps = schedule.steps
+    size = len(steps) // 2
+    while size >= 1:
+        for start in range(0, len(steps), size):
+            yield Schedule(schedule.head, steps[:start] + steps[start + size :])
+        size //= 2
+    for place, step in enumerate(steps):
+        for other in _lesser(step):
+            yield Schedule(schedule.head, (*steps[:place], other, *steps[place + 1 :]))
+
+
+def _lesser(step: Step) -> Iterable[Step]:
+    if step.lasts_ms >= 200:
+        yield msgspec.structs.replace(step, lasts_ms=step.lasts_ms // 2)
+    if isinstance(step, Link):
+        if len(step.src) > 1:
+            yield msgspec.structs.replace(step, src=step.src[: len(step.src) // 2])
+        if len(step.dst) > 1:
+            yield msgspec.structs.replace(step, dst=step.dst[: len(step.dst) // 2])
--- /dev/null
+++ b/tests/rig/cluster/test_schedules.py
@@ -0,0 +1,125 @@
+"""Schedules of the cluster rig: bad input, draws, groups, and shrinking."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rig.cluster import schedules
+from rig.cluster.schedules import (
+    Head,
+    Kill,
+    Link,
+    Schedule,
+    ScheduleError,
+    Stop,
+    bridge,
+    draw,
+    read,
+    ring,
+    shrink,
+)
+
+HEAD = b'{"format":1,"seed":7,"nodes":3,"length_ms":1000}\n'
+CUT = b'{"kind":"link","at_ms":10,"lasts_ms":50,"way":"cut","src":["n0"],"dst":["n1"]}\n'
+
+
+def test_a_schedule_is_read_and_written_alike():
+    made = read(HEAD + CUT, "a.jsonl")
+    assert made.steps == (Link(10, 50, "cut", ("n0",), ("n1",)),)
+    assert read(made.encode(), "b") == made and made.healed_ms == 60
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (b"", "f:1: empty"),
+        (b"{}\n", "f:1: line: Object missing required field `format`"),
+        (HEAD.replace(b'"format":1', b'"format":2'), "f:1: format: 2"),
+        (HEAD.replace(b'"nodes":3', b'"nodes":900'), "f:1: nodes: 900"),
+        (HEAD + b"{oops\n", "f:2: line:"),
+        (HEAD + CUT.replace(b'"cut"', b'"cat"'), "f:2: way: Invalid enum value 'cat'"),
+        (HEAD + CUT.replace(b'"n1"', b'"n9"'), "f:2: dst: no 'n9' of 3"),
+        (HEAD + CUT.replace(b'"lasts_ms":50', b'"lasts_ms":5000'), "f:2: lasts_ms: 5000"),
+        (HEAD + CUT.replace(b'"at_ms":10', b'"at_ms":"x"'), "f:2: at_ms: Expected `int`"),
+        (HEAD + CUT.replace(b'"dst"', b'"dts"'), "f:2: line: Object contains unknown field `dts`"),
+        (HEAD + CUT.replace(b'"cut"', b'"loss"'), "f:2: amount: 0 of loss"),
+        (HEAD + CUT + CUT.replace(b'"at_ms":10', b'"at_ms":9'), "f:3: at_ms: 9 is before"),
+        (HEAD + b'{"kind":"kill","at_ms":1,"lasts_ms":5,"node":"n3"}\n', "f:2: node: no 'n3'"),
+        (HEAD + b'{"kind":"stop","at_ms":1,"lasts_ms":5,"node":"n1","share":0}\n', "f:2: share: 0"),
+        (HEAD + b'{"kind":"flood","at_ms":1}\n', "f:2: kind:"),
+    ],
+)
+def test_bad_input_is_one_line_with_file_line_and_field(text, said):
+    with pytest.raises(ScheduleError) as error:
+        read(text, "f")
+    assert str(error.value).startswith(said) and "\n" not in str(error.value)
+
+
+@given(st.integers(0, 2**32), st.integers(1, 40), st.integers(1, 30))
+@settings(max_examples=60, deadline=None)
+def test_a_draw_is_valid_repeats_byte_for_byte_and_heals_in_time(seed, nodes, steps):
+    made = draw(seed, nodes, 20_000, steps=steps)
+    assert made.encode() == draw(seed, nodes, 20_000, steps=steps).encode()
+    assert read(made.encode(), "drawn") == made
+    assert len(made.steps) == steps and made.healed_ms <= 15_000
+
+
+def test_swarms_differ_and_one_more_step_changes_no_other():
+    kinds = {
+        tuple(sorted({type(step).__name__ for step in draw(seed, 5, 10_000).steps})) for seed in range(40)
+    }
+    assert len(kinds) > 5
+    fewer, more = draw(3, 5, 10_000, steps=8), draw(3, 5, 10_000, steps=9)
+    assert set(fewer.steps) < set(more.steps)
+
+
+def test_unknown_faults_are_told():
+    with pytest.raises(ScheduleError, match="no storms; there are links"):
+        draw(1, 3, 1000, kinds=["storms"])
+
+
+def reaches(links, count):
+    """Which node reaches which, with no help of others."""
+    every = schedules.names(count)
+    cut = {(src, dst) for link in links for src in link.src for dst in link.dst}
+    return {src: {dst for dst in every if dst != src and (src, dst) not in cut} for src in every}
+
+
+def test_groups_rings_and_bridges():
+    apart = reaches(schedules.split(0, 10, (["n0"], ["n1", "n2"])), 3)
+    assert apart == {"n0": set(), "n1": {"n2"}, "n2": {"n1"}}
+    over = reaches(bridge(0, 10, ["n0", "n1"], "n2", ["n3", "n4"]), 5)
+    assert (
+        over["n0"] == {"n1", "n2"} and over["n2"] == {"n0", "n1", "n3", "n4"} and over["n4"] == {"n2", "n3"}
+    )
+    round_ = reaches(ring(0, 10, schedules.names(5)), 5)
+    assert all(len(near) == 2 for near in round_.values()) and round_["n0"] == {"n1", "n4"}
+
+
+def test_shrinking_leaves_what_fails_and_little_else():
+    head = Head(1, 1, 5, 10_000)
+    noise = tuple(Stop(100 * place, 1000, "n4") for place in range(10))
+    guilty = (Link(300, 4000, "cut", ("n0", "n1"), ("n2", "n3")), Kill(700, 2000, "n2"))
+    whole = Schedule(head, tuple(sorted((*noise, *guilty), key=lambda step: step.at_ms)))
+
+    def fails(made):
+        cuts = [s for s in made.steps if isinstance(s, Link) and "n0" in s.src and s.lasts_ms >= 500]
+        return bool(cuts) and any(isinstance(s, Kill) for s in made.steps)
+
+    small = shrink(whole, fails)
+    assert fails(small) and len(small.steps) == 2
+    (link,) = [s for s in small.steps if isinstance(s, Link)]
+    assert link.src == ("n0",) and len(link.dst) == 1 and link.lasts_ms < 1000
+
+
+def test_shrinking_is_bounded():
+    asked = []
+
+    def fails(made):
+        asked.append(made)
+        return len(asked) % 3 == 0
+
+    shrink(draw(1, 5, 10_000, steps=30), fails, tries=25)
+    assert len(asked) == 25
