--- a/rig/cluster/links.py
+++ b/rig/cluster/links.py
@@ -15,7 +15,7 @@
 import random
 import socket
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -77,6 +77,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: set[asyncio.TimerHandle] = set()
         self._lag = LagWatch()
+        # Told what TCP bytes go on, from whom and to whom, as they do.
+        self.watch: Callable[[str, str, bytes], None] = lambda src, dst, data: None
 
     def start(self) -> Relay:
         """Watch the loop that runs."""
@@ -96,6 +98,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def forget_lag(self) -> None:
+        """Judge from now on only."""
+        self._lag.clear()
+
     @property
     def unsound(self) -> str:
         """Why a run can't be believed: the relay itself was late; empty where it was not."""
@@ -210,6 +216,7 @@
                 raise ConnectionResetError("by the near end")
             if rng.random() < state.amount("flip"):
                 data = flipped(data, rng)
+            self.watch(src, dst, data)
             writer.write(data)
             state.counts.passed += len(data)
             await writer.drain()
