--- a/tests/rig/test_fleet_size.py
+++ b/tests/rig/test_fleet_size.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from benchmarks import fleet_size
+from benchmarks import fleet_size, small_shares
 from benchmarks.fleet_size import DAYS, Day, Size
 from poppypulley import Balancer
 from poppypulley.model import Listing, Outcome
+from rig.helper import ROOT
 from rig.model import Make
 from rig.sim.policy import Flow, World
 
@@ -116,3 +119,17 @@
     (tmp_path / "poppypulley" / "balancer.py").write_text("def broken(:\n")
     with pytest.raises(ValueError, match=r"balancer\.py"):
         fleet_size.balancer_of(tmp_path)
+
+
+def test_what_each_sidecar_costs_is_measured_on_processes(capsys):
+    told = asyncio.run(small_shares.measure(2, 0.5, 1, ROOT))
+    assert told["start_cpu_ms"] > 10.0 and 5.0 < told["rss_mb"] < 96.0
+    assert told["idle_wakes_a_s"] < told["busy_wakes_a_s"] and told["asked_a_s"] > 4.0
+
+
+@pytest.mark.parametrize("arguments", [["--processes", "0"], ["--processes", "999"], ["--seed", "x"]])
+def test_bad_input_of_small_shares_is_exit_code_2(arguments, monkeypatch, capsys):
+    monkeypatch.setattr("sys.argv", ["small_shares", *arguments])
+    with pytest.raises(SystemExit) as ended:
+        small_shares.main()
+    assert ended.value.code == 2 and "error" in capsys.readouterr().err
