Keep each service's last list on disk behind a small store port

Need: a sidecar that is killed comes back with nothing but what its start tells it, and the fault rig needs a port under which disks can tear, lie and fail.

Nothing of it is loaded on the platform.

--- /dev/null
+++ b/tests/state/test_files.py
@@ -0,0 +1,166 @@
+"""The store on a real folder: what was appended is synced through what wrote it, and one process holds it."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import subprocess
+import sys
+
+import pytest
+
+from fordtrestle.state import files
+from fordtrestle.state.files import Files
+
+
+@pytest.fixture
+def folder(tmp_path):
+    return tmp_path / "above" / "state"
+
+
+@pytest.fixture
+def store(folder):
+    with contextlib.closing(Files(str(folder))) as made:
+        yield made
+
+
+def held():
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_what_is_appended_is_read_replaced_and_removed(store):
+    store.append("a", b"one")
+    store.append("a", b"two")
+    store.append("b", b"old")
+    store.sync("a")
+    store.replace("a", "b")
+    store.append("b", b"!")  # goes on in the file that took the name
+    store.sync("b")
+    store.sync_folder()
+    assert store.names() == store.names() == ["b"]
+    assert store.read("b", 7) == b"onetwo!"
+    store.remove("b")
+    store.remove("b")
+    store.append("b", b"new")
+    assert store.read("b", 9) == b"new"
+    with pytest.raises(FileNotFoundError):
+        store.read("a", 9)
+    with pytest.raises(FileNotFoundError):
+        store.sync("a")
+
+
+def test_folder_and_files_are_the_owners_alone(store, folder):
+    store.append("a", b"")
+    assert [path.stat().st_mode & 0o777 for path in (folder, folder.parent, folder / "a")] == [
+        *(0o700, 0o700, 0o600)
+    ]
+
+
+@pytest.mark.parametrize("name", ["", ".", "..", ".a", "a/b", "/a", "a\n", "a\0", "ä", "a" * 129])
+def test_a_name_that_leads_elsewhere_is_refused(store, name):
+    calls = (lambda: store.append(name, b""), lambda: store.read(name, 1), lambda: store.remove(name))
+    for call in (*calls, lambda: store.replace(name, "a"), lambda: store.replace("a", name)):
+        with pytest.raises(ValueError, match="no name"):
+            call()
+
+
+def test_links_and_pipes_are_not_followed_or_waited_for(store, folder, tmp_path):
+    (tmp_path / "secret").write_bytes(b"s")
+    (folder / "link").symlink_to(tmp_path / "secret")
+    os.mkfifo(folder / "pipe")
+    for call in (lambda: store.read("link", 9), lambda: store.append("link", b"x")):
+        with pytest.raises(OSError, match="symbolic"):
+            call()
+    with pytest.raises(OSError):
+        store.append("pipe", b"x")
+    assert store.read("pipe", 9) == b""
+    assert store.names() == []
+
+
+def test_a_file_past_its_bound_is_not_read(store):
+    store.append("a", b"12345")
+    with pytest.raises(OSError) as met:
+        store.read("a", 4)
+    assert met.value.errno == errno.EFBIG
+
+
+def test_short_writes_are_continued(store, monkeypatch):
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda descriptor, data: write(descriptor, data[:3]))
+    store.append("a", b"0123456789")
+    assert store.read("a", 99) == b"0123456789"
+
+
+def test_a_file_is_synced_through_the_descriptor_that_wrote_it(store, monkeypatch):
+    wrote, synced, write = [], [], os.write
+    monkeypatch.setattr(os, "write", lambda fd, data: wrote.append(fd) or write(fd, data))
+    monkeypatch.setattr(os, "fsync", synced.append)
+    store.append("a", b"x")
+    store.replace("a", "b")
+    monkeypatch.delattr(os, "open")
+    store.sync("b")
+    assert synced == wrote
+
+
+def test_a_folder_that_is_made_has_its_name_synced(folder, monkeypatch):
+    synced = []
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.readlink(f"/proc/self/fd/{fd}")))
+    Files(str(folder)).close()
+    assert synced == [str(folder.parent.parent), str(folder.parent)]
+
+
+def test_few_descriptors_are_held_and_the_oldest_is_synced_before_it_is_closed(store, monkeypatch):
+    synced, fsync = [], os.fsync
+    monkeypatch.setattr(
+        os, "fsync", lambda fd: synced.append(os.readlink(f"/proc/self/fd/{fd}")[-1]) or fsync(fd)
+    )
+    before = held()
+    for name in "abcdaefgh":
+        store.append(name, b"x")
+    assert held() - before == files.HELD_MOST
+    assert synced == ["b", "c", "d", "a"]
+    store.replace("h", "g")
+    store.remove("g")
+    assert held() - before == files.HELD_MOST - 2
+    store.close()
+    store.close()
+    assert held() - before == -1
+    with pytest.raises(OSError):
+        store.read("a", 1)
+
+
+@pytest.mark.parametrize("what", ["file", "folder", "oldest"])
+def test_after_a_failed_sync_nothing_is_written(store, monkeypatch, what):
+    def fails(descriptor):
+        raise OSError(errno.EIO, "Input/output error")
+
+    for name in "abcd":
+        store.append(name, b"x")
+    with monkeypatch.context() as broken:
+        broken.setattr(os, "fsync", fails)
+        failing = {"file": lambda: store.sync("a"), "folder": store.sync_folder}
+        with pytest.raises(OSError):
+            failing.get(what, lambda: store.append("e", b"x"))()
+    # The kernel would say that all is well now.
+    calls = (lambda: store.sync("a"), store.sync_folder, lambda: store.append("b", b"x"))
+    for call in (*calls, lambda: store.replace("a", "b")):
+        with pytest.raises(OSError, match="failed before"):
+            call()
+    assert store.read("a", 9) == b"x"
+
+
+def test_a_second_process_on_the_folder_is_refused(store, folder):
+    code = "import sys; from fordtrestle.state.files import Files; Files(sys.argv[1])"
+    opened = [sys.executable, "-c", code, str(folder)]
+    told = subprocess.run(opened, capture_output=True, text=True, timeout=30.0)
+    assert told.stderr.splitlines()[-1].endswith(f"another process holds this folder: '{folder}'")
+    store.close()
+    assert subprocess.run(opened, timeout=30.0).returncode == 0
+
+
+def test_a_folder_that_can_not_be_is_one_clear_error(tmp_path):
+    (tmp_path / "file").write_bytes(b"")
+    for path in ("file", "file/below"):
+        with pytest.raises(OSError, match="file"):
+            Files(str(tmp_path / path))
