Hand in clock and store, and tell rules and acts as events where an operator asks

Need: what several sidecars do together can only be judged by what each acted on, and faults of clocks and disks need a place to be put in.

Change: [state], [events] and [peers] in the operator file; daemon/seams.py hands in wall clock, store and the stamp of events; daemon/rules.py tells and keeps each list and the settings before they are acted on; engine/watched.py is a driver that notes each pick, retry, repeat, refusal and failure with the versions it stood on; daemon/events.py is one bounded writer (structlog). A restart without a registry now serves from the stored list. Opening the state folder is bounded (a mount that hangs held the start: seen red without the bound).

--- a/fordtrestle/config/operator.py
+++ b/fordtrestle/config/operator.py
@@ -8,19 +8,23 @@
 
 import re
 import tomllib
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
+from fordtrestle.config.events import EventsSpec, read_events
 from fordtrestle.config.fronts import FrontSpec, read_fronts
 from fordtrestle.config.limits import LimitsOptions
+from fordtrestle.config.peers import PeersSpec, read_peers
 from fordtrestle.config.services import ServiceSpec, read_services
 from fordtrestle.config.sources import SourceSpec, StaticSpec, read_sources
+from fordtrestle.config.state import StateSpec, read_state
 from fordtrestle.engine.schema import Fault, Faults, Table, good
 
 __all__ = ["LimitsOptions", "Operator", "OperatorError", "ProcessSpec", "read", "read_limits"]
 
 FILE_MOST = 16 * 1024 * 1024  # guards against a path that never ends, such as a device
+T = TypeVar("T")
 PLACE = re.compile(r"(.*?) \(at (?:line (\d+), column \d+|end of document)\)", re.DOTALL)
 
 
@@ -49,13 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """All that an operator file says."""
+    """All that an operator file says. `state`, `events` and `peers` are off where they are None."""
 
     services: Mapping[str, ServiceSpec]
     fronts: Mapping[str, FrontSpec]
     sources: Mapping[str, SourceSpec]
     limits: LimitsOptions
     process: ProcessSpec
+    state: StateSpec | None = None
+    events: EventsSpec | None = None
+    peers: PeersSpec | None = None
 
 
 def read(file: str) -> Operator:
@@ -68,6 +75,9 @@
         sources=read_sources(root),
         limits=_limits(root.table("limits")),
         process=_process(root.table("process")),
+        state=_optional(root, "state", read_state),
+        events=_optional(root, "events", read_events),
+        peers=_optional(root, "peers", read_peers),
     )
     root.end()
     _check(told, faults)
@@ -148,6 +158,13 @@
     return read
 
 
+def _optional(root: Table, key: str, read: Callable[[Table], T]) -> T | None:
+    """What a table says that may be missing; None where it is, or is no table."""
+    before = len(root.faults.found)
+    table = root.table(key)
+    return read(table) if root.has(key) and len(root.faults.found) == before else None
+
+
 # --- what holds between tables ------------------------------------------------
 
 
@@ -161,6 +178,8 @@
             _check_places(name, service, source, faults)
         elif service.source and source is None:
             faults.add(f"service.{name}.source", f"there is no source {service.source}")
+    if told.peers is not None and len(told.services) > 1:
+        faults.add("peers", f"one service may speak to its peers, and there are {len(told.services)}")
     _check_shares(told, faults)
 
 
--- a/fordtrestle/config/options.py
+++ b/fordtrestle/config/options.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
 import os
 import resource
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any
 
 from fordtrestle.config.limits import RETRY_AFTER_MS
@@ -41,12 +44,17 @@
     seed = told.process.seed
     granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     return Start(
-        number=stable_number(told.process.name or socket.gethostname()) % 2**16,
+        number=stable_number(node_name(told)) % 2**16,
         seed=int.from_bytes(os.urandom(6)) if seed is None else seed,
         granted=None if granted < 0 else granted,
     )
 
 
+def node_name(told: Operator) -> str:
+    """The name of this process among those of its fleet."""
+    return told.process.name or socket.gethostname()
+
+
 # --- a service ------------------------------------------------------------------
 
 
@@ -83,6 +91,12 @@
     return Places(zones, {kind: i for i, kind in enumerate(service.kinds)})
 
 
+def basis(service: ServiceSpec) -> str:
+    """16 hex digits of what the zones and kinds of its lists are numbered by."""
+    numbered = json.dumps([service.zones, service.kinds]).encode()
+    return blake2b(numbered, digest_size=8).hexdigest()
+
+
 def settings(told: Operator, name: str, start: Start) -> model.Settings:
     """The decision module's settings; `ValueError` names the first that is senseless."""
     service = told.services[name]
@@ -90,7 +104,8 @@
     asked = isinstance(source, RegistrySpec) and not source.pushed
     raw = {
         "Profiles": [_profile(row) for row in service.classes.values()],
-        "Me": start.number,
+        "Me": start.number if told.peers is None else told.peers.me,
+        "Balancers": 1 if told.peers is None else len(told.peers.at),
         "Locality": service.zones.index(service.zone) if service.zone else 0,
         "FailureDomains": list(service.zones),
         "Kinds": list(service.kinds),
@@ -99,7 +114,7 @@
         "Tenants": [_tenant(row) for row in service.tenants],
         "OverShareWorth": service.over_share_worth,
         "WorthBy": service.worth_by,
-        "PolicyLimits": _policy_limits(service),
+        "PolicyLimits": {**_policy_limits(service), "PeerMessages": told.peers is not None},
         "Report": {"How": "inline" if service.load_reports else "off", "Fields": list(service.load_reports)},
         "Rules": _rules(service, source.ask_within_ms if isinstance(source, RegistrySpec) else 10_000.0),
     }
@@ -149,6 +164,23 @@
     }
 
 
+def settings_digest(told: Operator, name: str) -> str:
+    """16 hex digits that tell the settings of a service from others, alike in all processes that are told the
+    same: nothing counts that is a process's own, such as its zone and addresses."""
+    service = told.services[name]
+    source = told.sources[service.source]
+    if isinstance(source, RegistrySpec):
+        asked: tuple[object, ...] = (source.pushed, source.ask_within_ms)
+    else:
+        asked = ()
+    counted = [
+        dataclasses.asdict(dataclasses.replace(service, zone="")),
+        asked,
+        dataclasses.asdict(told.limits),
+    ]
+    return blake2b(json.dumps(counted).encode(), digest_size=8).hexdigest()
+
+
 # --- fronts and sources -----------------------------------------------------------
 
 
@@ -176,10 +208,12 @@
     return share
 
 
-def registry_options(source: RegistrySpec, service: ServiceSpec, seed: int) -> RegistryOptions:
-    """What a registry's watch is told; nothing is known before its first list."""
+def registry_options(
+    source: RegistrySpec, service: ServiceSpec, seed: int, known: ServerList | None = None
+) -> RegistryOptions:
+    """What a registry's watch is told; where no list is known from before, it begins with an empty one."""
     assert source.address is not None
-    known = ServerList(0, True, [], {})
+    known = known or ServerList(0, True, [], {})
     return RegistryOptions(source.address, places(service), source.pushed, known, seed)
 
 
--- a/fordtrestle/daemon/process.py
+++ b/fordtrestle/daemon/process.py
@@ -6,7 +6,7 @@
 import gc
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from fordtrestle.daemon import sockets
 from fordtrestle.daemon.overload import Overload
@@ -42,7 +42,9 @@
 
 
 class Service:
-    """One service: its engine, its connections to servers, and what tells of them."""
+    """One service: its engine, its connections to servers, and what tells of them.
+
+    `driver`: its engine where it is a special one; else one is made as `engine` tells."""
 
     def __init__(
         self,
@@ -53,9 +55,10 @@
         budget: Budget,
         source: Callable[[News], Source],
         peers: PeerOptions | None = None,
+        driver: Driver | None = None,
     ) -> None:
         self._loop = loop
-        self.driver = Driver(loop, clock, engine)
+        self.driver = driver or Driver(loop, clock, engine)
         self.pool = Pool(loop, clock, pool, budget)
         self.source = source(self.driver.server_list)
         self.peers = Peers(peers or PeerOptions(), self.driver.peer_message)
@@ -199,18 +202,33 @@
         """What the books hold though all is closed."""
 
 
-async def run(make: Callable[[asyncio.AbstractEventLoop], Program], signals: Signals) -> None:
+P = TypeVar("P", bound=Program)
+
+
+def _nothing(program: object) -> None:
+    pass
+
+
+async def run(
+    make: Callable[[asyncio.AbstractEventLoop], P],
+    signals: Signals,
+    ending: Callable[[P], None] = _nothing,
+) -> None:
     """Run until SIGTERM, and then until all that was taken is answered; `OSError` where it can't start.
 
-    However it ends, no signal ends the process from then on."""
+    `ending` is called with the program as soon as it is told to end. However it ends, no signal ends the
+    process from then on."""
     loop = asyncio.get_running_loop()
     try:
-        await _run(loop, make(loop), signals)
+        program = make(loop)
+        await _run(loop, program, signals, lambda: ending(program))
     finally:
         signals.finish()
 
 
-async def _run(loop: asyncio.AbstractEventLoop, program: Program, signals: Signals) -> None:
+async def _run(
+    loop: asyncio.AbstractEventLoop, program: Program, signals: Signals, ending: Callable[[], None]
+) -> None:
     stop = asyncio.Event()
     reloads = Reloads(loop, program.reload)
     try:
@@ -220,6 +238,7 @@
         gc.collect()
         gc.freeze()
         await stop.wait()
+        ending()
         await asyncio.sleep(STILL_LISTEN_S)
         await program.drain()
     finally:
--- /dev/null
+++ b/fordtrestle/daemon/rules.py
@@ -0,0 +1,186 @@
+"""The rules in force, each list and the settings of each service: told and kept before they are acted on.
+
+Loaded only where there is an `[events]` or a `[state]`."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from fordtrestle.config import options
+from fordtrestle.config.operator import Operator
+from fordtrestle.config.sources import RegistrySpec
+from fordtrestle.daemon.process import News
+from fordtrestle.daemon.seams import Seams
+from fordtrestle.engine.clock import Clock
+from fordtrestle.engine.driver import Driver, EngineOptions
+from fordtrestle.engine.log import log
+from fordtrestle.engine.ports import ServerList
+from fordtrestle.engine.watched import WatchedDriver
+from fordtrestle.membership.whole import Whole
+
+if TYPE_CHECKING:  # each is loaded only where it is on
+    from fordtrestle.daemon.events import Events
+    from fordtrestle.state.lists import Kept, ListKeeper
+
+OPEN_S = 5.0  # for the folder of the state to open
+
+Keep = Callable[[str, ServerList, str], None]  # a service, its whole list, and the digest of that
+
+
+class Rulebook:
+    """The rules of all services of a process, its events and its state. `known`: lists of an earlier life.
+
+    `OSError` where another process holds the state, or where the events can't be written. A state folder that
+    can't be used is told in one line, and nothing is stored."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, told: Operator, seams: Seams) -> None:
+        self._loop = loop
+        self._told = told
+        self._keeper: ListKeeper | None = None
+        self._events: Events | None = None
+        self.known: dict[str, ServerList] = {}
+        sources = told.sources
+        self._fed = [n for n, row in told.services.items() if isinstance(sources[row.source], RegistrySpec)]
+        life = self._remember(seams)
+        if told.events is not None:
+            from fordtrestle.daemon.events import Events
+
+            stamp, bytes_most = seams.stamp or time.time, told.events.mb_most * 2**20
+            self._events = Events(loop, told.events.file, bytes_most, options.node_name(told), stamp)
+            self._events.started(life)
+        keep = None if self._keeper is None else self._keeper.keep
+        self._rules = {
+            name: Rules(name, name in self._fed, self._events, keep if name in self._fed else None)
+            for name in told.services
+        }
+        self.settle(told)
+        if told.state is not None and life == 0:
+            for name in self._fed:
+                self._unstored(name, "the folder can't be used")
+
+    def driver(self, name: str, clock: Clock, engine: EngineOptions) -> Driver | None:
+        """The engine of a service that tells what it does; None where there are no events."""
+        if self._events is None:
+            return None
+        return WatchedDriver(self._loop, clock, engine, self._rules[name].acted)
+
+    def first(self, name: str, hear: News) -> News:
+        """News of a service's list that are told and kept before `hear` is called with them."""
+        rules = self._rules[name]
+
+        def news(form: str, listed: ServerList | None) -> None:
+            if listed is not None:
+                rules.take(form, listed)
+            hear(form, listed)
+
+        return news
+
+    def settle(self, told: Operator) -> None:
+        """What a file says is in force from now on."""
+        for name, rules in self._rules.items():
+            rules.settle(options.settings_digest(told, name))
+
+    def ending(self) -> None:
+        """The process is told to end."""
+        if self._events is not None:
+            self._events.draining()
+
+    def close(self) -> None:
+        """Write what waits to be written, within a bound."""
+        if self._keeper is not None:
+            self._keeper.close()
+        if self._events is not None:
+            self._events.ended()
+
+    # --- the state ---------------------------------------------------------------------
+
+    def _remember(self, seams: Seams) -> int:
+        """Take in what an earlier life left; the number of this one, 0 where nothing is kept."""
+        if self._told.state is None:
+            return 0
+        kept = self._kept(self._told.state.folder, seams)
+        for line in kept.told:
+            log(line)
+        self.known = kept.lists
+        return kept.life
+
+    def _kept(self, folder: str, seams: Seams) -> Kept:
+        from fordtrestle.state.files import Files
+        from fordtrestle.state.lists import OFF, Kept, ListKeeper
+        from fordtrestle.state.writer import Writer
+
+        opening = Writer(self._loop)  # a mount that hangs must not hold the start
+        try:
+            store = opening.run(lambda: (seams.store or Files)(folder), OPEN_S)
+        except OSError as error:
+            if error.errno == errno.EBUSY:  # two processes would overwrite each other's there
+                raise
+            return Kept(told=[f"state: {folder}: {error.strerror or error}; {OFF}"])
+        finally:
+            opening.close(0.0)
+        bases = {name: options.basis(self._told.services[name]) for name in self._fed}
+        self._keeper = ListKeeper(self._loop, store, self._stored, self._failed, bases)
+        return self._keeper.load(self._fed)
+
+    def _stored(self, service: str, version: int, digest: str) -> None:
+        if self._events is not None:
+            self._events.stored(f"list:{service}", version, digest)
+
+    def _failed(self, service: str, why: str) -> None:
+        log(f"state: list-{service}: {why}; nothing is stored until a restart")
+        self._unstored(service, why)
+
+    def _unstored(self, service: str, why: str) -> None:
+        if self._events is not None:
+            self._events.unstored(f"list:{service}", why)
+
+
+class Rules:
+    """The list and the settings of one service. `events` tells of them and `keep` stores lists, if there are.
+
+    `numbered`: whether lists have versions, as a registry's have and a file's have not."""
+
+    def __init__(self, service: str, numbered: bool, events: Events | None, keep: Keep | None) -> None:
+        self._service = service
+        self._numbered = numbered
+        self._events = events
+        self._keep = keep
+        self._whole = Whole()
+        self._settings = ""
+        self._list_rule = f"list:{service}"
+        self._begun = False  # a list was told
+
+    def settle(self, digest: str) -> None:
+        """These settings are in force from now on."""
+        if digest == self._settings:
+            return
+        if self._events is not None:
+            form = "reload" if self._settings else "file"
+            self._events.learned(f"settings:{self._service}", 0, digest, form)
+        self._settings = digest
+
+    def take(self, form: str, news: ServerList) -> None:
+        """What discovery says."""
+        new = self._whole.take(form, news)
+        if self._events is not None and (new or not self._begun):
+            if not self._numbered:
+                form = "reload" if self._begun else "file"
+            whole = self._whole
+            self._events.learned(self._list_rule, self._version, whole.digest, form, whole.entries())
+        if self._keep is not None and new and form != "remembered":
+            self._keep(self._service, self._whole.listed(), self._whole.digest)
+        self._begun = True
+
+    def acted(self, what: str, call: str, server: str, hop: int) -> None:
+        """The engine did something by what is in force."""
+        if self._events is not None:
+            rule, digest = self._list_rule, self._whole.digest
+            self._events.acted(rule, self._version, digest, what, call, server, hop, self._settings)
+
+    @property
+    def _version(self) -> int:
+        return self._whole.version if self._numbered else 0
--- a/fordtrestle/daemon/standalone.py
+++ b/fordtrestle/daemon/standalone.py
@@ -11,7 +11,9 @@
 from fordtrestle.config.limits import budget, spare
 from fordtrestle.config.operator import Operator, OperatorError
 from fordtrestle.config.sources import StaticSpec
+from fordtrestle.daemon.peers import PeerOptions
 from fordtrestle.daemon.process import FrontAt, Machine, News, Process, Service, Source, run
+from fordtrestle.daemon.seams import Seams
 from fordtrestle.daemon.signals import Signals
 from fordtrestle.engine.clock import Clock
 from fordtrestle.engine.limits import Budget, Part
@@ -21,23 +23,31 @@
 from fordtrestle.membership.registry import Discovery
 from fordtrestle.membership.static import StaticList
 
-if TYPE_CHECKING:
+if TYPE_CHECKING:  # each is loaded only where it is on
     from fordtrestle.daemon.recording import Recording
+    from fordtrestle.daemon.rules import Rulebook
+
+USUAL = Seams()
 
 
 class Standalone:
-    """The services and fronts of an operator file, wired together."""
+    """The services and fronts of an operator file, wired together; `seams` stand for the machine's own parts.
+
+    `OSError` where another process holds its state, or its events or traces can't be written."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, file: str, told: Operator) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, file: str, told: Operator, seams: Seams = USUAL
+    ) -> None:
         self._loop = loop
         self._file = file
         self._told = told
         self._start = options.start_of(told)
         self.limits = told.limits.books(self._start.granted)
-        self._clock = Clock(loop)
+        self._clock = Clock(loop, seams.wall)
         self._machine = Machine(loop, self._clock, self.limits, told.limits.memory_mb)
         self._recordings: list[Recording] = []
         self._version = 0  # of static lists
+        self._rules = self._rulebook(seams)
         self.services = {name: self._service(name) for name in told.services}
         parts = {
             name: budget(self.limits, f"front.{name}", options.front_share(told, name))
@@ -47,11 +57,21 @@
         fronts = {name: self._front(name, part, at_limit) for name, part in parts.items()}
         self._process = Process(loop, self._machine, self.services, fronts)
 
+    def _rulebook(self, seams: Seams) -> Rulebook | None:
+        """What tells and keeps the rules in force, if the file asks for it."""
+        if self._told.state is None and self._told.events is None:
+            return None
+        from fordtrestle.daemon.rules import Rulebook
+
+        return Rulebook(self._loop, self._told, seams)
+
     def _service(self, name: str) -> Service:
         engine = options.engine_options(self._told, name, self._start)
         pool = options.pool_options(self._told, name, self._start)
         part = budget(self.limits, f"service.{name}", options.upstream_share(self._told))
-        return Service(self._loop, self._clock, engine, pool, part, self._source(name))
+        driver = None if self._rules is None else self._rules.driver(name, self._clock, engine)
+        peers = peer_options(self._told)
+        return Service(self._loop, self._clock, engine, pool, part, self._source(name), peers, driver)
 
     def _front(self, name: str, part: Budget, at_limit: Part) -> FrontAt:
         spec = self._told.fronts[name]
@@ -71,10 +91,13 @@
         service = self._told.services[name]
         spec = self._told.sources[service.source]
 
-        def make(news: News) -> Source:
+        def make(hear: News) -> Source:
+            news = hear if self._rules is None else self._rules.first(name, hear)
             if isinstance(spec, StaticSpec):
                 return StaticList(self._loop, options.server_list(spec, service, 0), news)
-            return Discovery(self._loop, options.registry_options(spec, service, self._start.seed), news)
+            known = None if self._rules is None else self._rules.known.get(name)
+            told = options.registry_options(spec, service, self._start.seed, known)
+            return Discovery(self._loop, told, news)
 
         return make
 
@@ -100,6 +123,8 @@
             return
         self._version += 1
         self._told = told
+        if self._rules is not None:
+            self._rules.settle(told)
         if any(key.startswith("limits.") for key in keys):
             self.limits.resize(*told.limits.capacities(self._start.granted))
         for name, service in told.services.items():
@@ -115,6 +140,11 @@
         elif spec.address is not None and isinstance(holder, Discovery):
             holder.move(spec.address)
 
+    def ending(self) -> None:
+        """Told to end: it goes on listening for a moment."""
+        if self._rules is not None:
+            self._rules.ending()
+
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         await self._process.drain()
@@ -124,13 +154,21 @@
         self._process.close()
         for recording in self._recordings:
             recording.close()
+        if self._rules is not None:
+            self._rules.close()
 
     def unsettled(self) -> list[str]:
         """What the books hold though all is closed."""
         return self._process.unsettled()
 
 
-def main(file: str, signals: Signals) -> int:
+def peer_options(told: Operator) -> PeerOptions | None:
+    """Where the other processes of the fleet are, if the file says so."""
+    spec = told.peers
+    return None if spec is None else PeerOptions(spec.listen, spec.me, spec.at)
+
+
+def main(file: str, signals: Signals, seams: Seams = USUAL) -> int:
     """Run as an operator file tells; the exit code."""
     try:
         told = operator.read(file)
@@ -139,8 +177,11 @@
             log(line)
         return 2
     try:
-        asyncio.run(run(lambda loop: Standalone(loop, file, told), signals))
+        asyncio.run(run(lambda loop: Standalone(loop, file, told, seams), signals, Standalone.ending))
     except OSError as error:
         log(f"can't start: {error}")
         return 1
+    except ModuleNotFoundError as error:
+        log(f"can't start: {error.name} is missing: pip install 'fordtrestle[cluster]'")
+        return 1
     return 0
--- a/fordtrestle/engine/driver.py
+++ b/fordtrestle/engine/driver.py
@@ -150,7 +150,7 @@
     def _overdue(self, request: OpenRequest) -> None:
         if self._end(request):
             log(f"request {request.id}: no answer at its deadline")
-            request.call.failed(True)
+            self._fail(request, True)
             self._ask(request, self._balancer.client_gone, request.id)
 
     def _outcome(self, attempt: OpenAttempt, result: Result) -> None:
@@ -207,7 +207,7 @@
         except Exception:
             log(traceback.format_exc())
             if request is not None and self._end(request):
-                request.call.failed(False)
+                self._fail(request, False)
                 self._ask(None, self._balancer.client_gone, request.id)
         if request is not None:
             self._forget(request)
@@ -221,11 +221,11 @@
             case model.Refuse(number, retry_after):
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
-                    request.call.refused(retry_after)
+                    self._refuse(request, retry_after)
             case model.Fail(number):
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
-                    request.call.failed(self._clock.now() >= request.give_up_at)
+                    self._fail(request, self._clock.now() >= request.give_up_at)
             case model.Cancel(number, hop):
                 self._cancel(number, hop)
             case model.CloseIdle(server):
@@ -271,6 +271,12 @@
             action.server, request.call.wire, expires, lambda result: self._outcome(attempt, result)
         )
 
+    def _refuse(self, request: OpenRequest, retry_after: float) -> None:
+        request.call.refused(retry_after)
+
+    def _fail(self, request: OpenRequest, late: bool) -> None:
+        request.call.failed(late)
+
     def _cancel(self, number: int, hop: int) -> None:
         request = self._requests.get(number)
         if request is None or not 0 <= hop < len(request.attempts):
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -143,6 +143,51 @@
     assert not loaded & unwanted
 
 
+SERVES = """
+import asyncio, sys
+from fordtrestle import __main__
+from fordtrestle.daemon import process
+async def run(make, signals, ending=None):
+    make(asyncio.get_running_loop())
+    print(*sorted(sys.modules))
+process.run = run
+sys.exit(__main__.main(sys.argv[1:]))
+"""
+
+
+def serving(*words, code=SERVES, env=None):
+    """What is loaded once all of the program is made, and how it ended."""
+    command = [sys.executable, "-c", code, *words]
+    done = subprocess.run(command, env=env, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    return set(done.stdout.split()), done
+
+
+def test_events_and_state_are_loaded_where_they_are_asked_for_and_nowhere_else(good, tmp_path):
+    """Guards against memory for what is off, and against libraries that are an extra."""
+    extra = {"structlog", "msgspec", "crc32c"}
+    for loaded, done in (serving(env=environment(tmp_path)), serving("serve", str(good))):
+        assert done.returncode == 0 and "fordtrestle.daemon.process" in loaded, done.stderr
+        state = {name for name in loaded if name.startswith("fordtrestle.state")}
+        assert not state and not loaded & {
+            *extra,
+            "fordtrestle.daemon.events",
+            "fordtrestle.membership.whole",
+        }
+    tables = {"state": {"msgspec", "crc32c"}, "events": {"structlog", "msgspec"}}
+    for table, wanted in tables.items():
+        key = "folder" if table == "state" else "file"
+        good.write_text(f'{GOOD}[{table}]\n{key} = "{tmp_path}/{table}"\n')
+        loaded, done = serving("serve", str(good))
+        assert loaded & extra == wanted and done.returncode == 0, done.stderr
+
+
+def test_a_library_that_is_missing_is_one_line(good, tmp_path):
+    good.write_text(f'{GOOD}[events]\nfile = "{tmp_path}/events"\n')
+    _, done = serving("serve", str(good), code="import sys; sys.modules['structlog'] = None" + SERVES)
+    line = "can't start: structlog is missing: pip install 'fordtrestle[cluster]'\n"
+    assert (done.returncode, done.stderr) == (1, line)
+
+
 def test_a_word_loads_only_its_own_file(good):
     code = "import sys; from fordtrestle import cli; cli.main(['check', sys.argv[1]]); print(*sys.modules)"
     done = subprocess.run(
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -71,7 +71,7 @@
 FAULTS = r"""
 [front.web]
 [stat]\n[front.web]
-stat: no such key
+stat: no such key; did you mean state?
 source = "fleet"
 source = "fleet"\nidle_close = 5
 service.shop.idle_close: no such key; did you mean idle_close_ms?
@@ -195,6 +195,33 @@
 [front.web]
 [process]\nseed = 1.5\n[front.web]
 process.seed: expected a whole number, not 1.5
+[front.web]
+[state]\n[front.web]
+state.folder: missing
+[front.web]
+[state]\nfolder = 3\n[front.web]
+state.folder: expected the path of a file, not 3
+[front.web]
+[events]\nfile = "e"\nmb_mst = 3\n[front.web]
+events.mb_mst: no such key; did you mean mb_most?
+[front.web]
+[events]\nfile = "e"\nmb_most = 0\n[front.web]
+events.mb_most: 0 is not within 1 to 1048576
+[front.web]
+[events]\nmb_most = 1\n[front.web]
+events.file: missing
+[front.web]
+[peers]\nlisten = "h:1"\nme = 9\nat = ["127.0.0.1:1"]\n[front.web]
+peers.listen: "h:1" is not an address (IP:port)
+[front.web]
+[peers]\nlisten = "127.0.0.1:1"\nme = 1\nat = ["127.0.0.1:1"]\n[front.web]
+peers.me: 1 is not among at, which has 1
+[front.web]
+[peers]\nlisten = "127.0.0.1:1"\nat = ["127.0.0.1:1"]\n[front.web]
+peers.me: missing
+[front.web]
+[peers]\nlisten = "127.0.0.1:1"\nme = 0\nat = ["127.0.0.1:1", "127.0.0.1:1"]\n[front.web]
+peers.at: 127.0.0.1:1 is there more than once
 """
 
 
@@ -394,6 +421,43 @@
     assert LimitsOptions(memory_mb=memory_mb, buffered_bytes_most=7).books(100).buffered.capacity == 7
 
 
+PEERS = '[peers]\nlisten = "127.0.0.1:7"\nme = 1\nat = ["127.0.0.1:8", "127.0.0.1:7"]\n'
+
+
+def test_peers_become_the_settings_that_they_stand_for(tmp_path):
+    told = operator.read(written(tmp_path, GOOD + PEERS))
+    settings = options.settings(told, "shop", START)
+    assert (settings.me, settings.balancers, settings.peer_messages) == (1, 2, True)
+    assert (told.peers.listen, told.peers.at[1]) == (Address("127.0.0.1", 7), Address("127.0.0.1", 7))
+    alone = options.settings(operator.read(written(tmp_path, GOOD)), "shop", START)
+    assert (alone.balancers, alone.peer_messages) == (1, False)
+    two = GOOD + '[service.b]\nsource = "fleet"\nzones = ["west"]\nkinds = ["big"]\n'
+    two += '[service.b.class.look]\nsemantics = "safe"\ndeadline_ms = 1\n' + PEERS
+    assert lines(tmp_path, two) == ["peers: one service may speak to its peers, and there are 2"]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "same"),
+    [
+        ('zone = "west"\ntenants', 'zone = "east"\ntenants', True),  # each process has its own
+        ("127.0.0.1:8080", "127.0.0.1:8081", True),
+        ("weight = 2.5", "weight = 3", True),  # the list is a rule of its own
+        ("aim_ms = 100", "aim_ms = 101", False),
+        ("[front.web]", "[limits]\nopen_calls_most = 7\n[front.web]", False),
+    ],
+)
+def test_settings_that_are_the_same_for_a_fleet_have_one_digest(tmp_path, old, new, same):
+    before = options.settings_digest(operator.read(written(tmp_path, GOOD)), "shop")
+    after = options.settings_digest(operator.read(written(tmp_path, instead(old, new))), "shop")
+    assert (before == after) is same
+
+
+def test_lists_are_kept_apart_by_what_their_zones_and_kinds_are_numbered_by(tmp_path):
+    texts = (GOOD, instead('["east", "west"]', '["west", "east"]'), instead('["big"]', '["small", "big"]'))
+    told = [operator.read(written(tmp_path, text)).services["shop"] for text in texts]
+    assert len({options.basis(service) for service in told}) == 3
+
+
 # --- what a reload may change ------------------------------------------------------------
 
 
@@ -414,6 +478,15 @@
 [front.web]
 [limits]\\nmemory_mb = 64\\n[front.web]
 limits.memory_mb
+[front.web]
+[state]\\nfolder = "a"\\n[front.web]
+state
+[front.web]
+[events]\\nfile = "a"\\n[front.web]
+events
+[front.web]
+[peers]\\nlisten = "127.0.0.1:1"\\nme = 0\\nat = "127.0.0.1:1"\\n[front.web]
+peers
 aim_ms = 100
 aim_ms = 100.0  # the same figure
 -
--- a/tests/daemon/test_standalone.py
+++ b/tests/daemon/test_standalone.py
@@ -6,6 +6,7 @@
 import contextlib
 import re
 import signal
+import socket
 import sys
 
 import pytest
@@ -14,6 +15,7 @@
 from fordtrestle.daemon import process
 from fordtrestle.daemon.standalone import Standalone
 from fordtrestle.engine.ports import parse_address
+from poppypulley.model import Tell
 from tests.daemon.test_process import ROOT, Process
 from tests.loopback import App, Registry, Scripted, Upstream, entry, hang, loopback, until
 
@@ -153,6 +155,23 @@
         await drained
 
 
+@loopback
+async def test_a_process_hears_its_peers_by_their_numbers_and_tells_them(tmp_path, capfd):
+    upstream = await answering("apples")
+    with socket.socket(type=socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.1", 0))
+        peer.setblocking(False)
+        at = f'["127.0.0.1:1", "127.0.0.1:{peer.getsockname()[1]}"]'
+        peers = f'[peers]\nlisten = "127.0.0.1:0"\nme = 0\nat = {at}\n'
+        module = Scripted(peer_message=lambda now, number, data: [Tell(number, b"back")])
+        async with standing(tmp_path, service("a", upstream) + peers, capfd, {"a": module}) as made:
+            peer.sendto(b"there", made.services["a"].peers._transport.get_extra_info("sockname"))
+            await until(lambda: module.named("peer_message"))
+            assert module.named("peer_message") == [[1, b"there"]]
+            assert await asyncio.get_running_loop().sock_recv(peer, 100) == b"back"
+    upstream.stop()
+
+
 # --- sources and reloads --------------------------------------------------------------------
 
 
@@ -327,6 +346,30 @@
         partner.stop()
 
 
+@loopback
+async def test_the_example_of_a_fleet_serves_tells_and_keeps(tmp_path):
+    operator.read(str(ROOT / "deploy/example-cluster.toml"))
+    ordered, registry = await answering("ordered"), await Registry().start()
+    moved = {
+        "127.0.0.1:8083": "127.0.0.1:0",
+        "127.0.0.1:7000": "127.0.0.1:0",
+        "127.0.0.1:8502": registry.address,
+        "/var/lib/fordtrestle": f"{tmp_path}/state",
+        "/var/log/fordtrestle.events.jsonl": f"{tmp_path}/events",
+    }
+    made = await Serving.start(example(tmp_path, "example-cluster.toml", moved))
+    await until(lambda: registry.watches)
+    registry.tell(1, entry("s0", ordered.address), snapshot=True)
+    while await asked(made.fronts["orders"], "POST", "/order") != "ordered":
+        await asyncio.sleep(0.01)
+    assert await made.stop() == 0
+    events = (tmp_path / "events").read_text()
+    assert all(f'"event":"{kind}"' in events for kind in ("started", "learned", "acted", "stored", "ended"))
+    assert (tmp_path / "state" / "list-orders").stat().st_size > 0
+    for partner in (ordered, registry):
+        partner.stop()
+
+
 @loopback
 async def test_the_platforms_sidecar_keeps_within_an_operators_limits(tmp_path):
     """Of the operator's 64 descriptors 24 are reserved, and clients may have 26 of the others, since 14 are
--- /dev/null
+++ b/tests/engine/test_watched.py
@@ -0,0 +1,148 @@
+"""A driver that tells what it does: each attempt that began and each answer of its own, and nothing else."""
+
+from __future__ import annotations
+
+import pytest
+
+from fordtrestle.engine.clock import Clock
+from fordtrestle.engine.driver import EngineOptions
+from fordtrestle.engine.ports import Result
+from fordtrestle.engine.watched import WatchedDriver
+from poppypulley import model
+from poppypulley.model import Fail, Outcome, Refuse, Send
+from tests.loopback import SETTINGS, Scripted
+
+
+class Loop:
+    """Time that stands; what is asked for later is run by the test."""
+
+    def __init__(self):
+        self.now, self.later = 1000.0, []
+
+    def time(self):
+        return self.now
+
+    def call_at(self, when, callback, *args):
+        self.later.append((callback, *args))
+        return self
+
+    def call_later(self, delay, callback, *args):
+        return self.call_at(delay, callback, *args)
+
+    def call_soon(self, callback, *args):
+        return self.call_at(0.0, callback, *args)
+
+    def cancel(self):
+        pass
+
+
+class Call:
+    """A client's request, whose answers are counted; also the handle of its attempts."""
+
+    band = tenant = 0
+    key = work = None
+    mutates = False
+
+    def __init__(self, number, again=False, budget=1000.0):
+        self.call_id, self.again, self.budget, self.answers = number, again, budget, []
+
+    def wire(self, left):
+        return b""
+
+    def refused(self, retry_after):
+        self.answers.append("refused")
+
+    def failed(self, late):
+        self.answers.append("failed")
+
+    def over(self):
+        pass
+
+    def abandon(self):
+        pass
+
+
+class Servers:
+    """Where attempts go; the test ends them."""
+
+    def __init__(self):
+        self.done = []
+
+    def send(self, server, message, expires, done):
+        self.done.append(done)
+        return Call("")
+
+
+def driver(most=2, **scripts):
+    loop, told = Loop(), []
+    made = WatchedDriver(
+        loop,
+        Clock(loop),
+        EngineOptions(model.Settings.parse(SETTINGS), 1, most),
+        lambda *act: told.append(act),
+    )
+    made._balancer, made.servers, made.told, made.loop = Scripted(**scripts), Servers(), told, loop
+    made.connect(made.servers, None, None)
+    return made
+
+
+def arrive(made, call):
+    made.arrive(call, made._clock.now())
+    return call
+
+
+def retried(now, number, hop, *rest):
+    return [Send(number, "s1", 0.0)] if hop == 0 else [Fail(number)]
+
+
+def test_attempts_are_picks_repeats_and_retries_and_an_answer_of_its_own_a_failure():
+    made = driver(outcome=retried)
+    arrive(made, Call("c1"))
+    call = arrive(made, Call("c2", again=True))
+    for turn in (1, 2):
+        made.servers.done[turn](Result(Outcome.ERROR))
+    assert made.told == [
+        ("pick", "c1", "s0", 0),
+        ("repeat", "c2", "s0", 0),
+        ("retry", "c2", "s1", 1),
+        ("failure", "c2", "", 2),
+    ]
+    assert call.answers == ["failed"]
+
+
+@pytest.mark.parametrize(
+    ("script", "what"),
+    [
+        (lambda now, arrival: [Refuse(arrival.request, 0.0)], "refusal"),
+        (lambda now, arrival: [Fail(arrival.request)], "failure"),
+        (lambda now, arrival: 1 / 0, "failure"),
+    ],
+)
+def test_each_answer_is_told_once(script, what, capsys):
+    made = driver(request=script)
+    call = arrive(made, Call("c1"))
+    assert made.told == [(what, "c1", "", 0)] and len(call.answers) == 1
+
+
+def test_a_request_past_the_most_is_a_refusal_and_one_that_is_forgotten_a_failure(capsys):
+    made = driver(most=1, request=lambda now, arrival: [])
+    arrive(made, Call("c1"))
+    arrive(made, Call("c2"))
+    guard, request = made.loop.later[0]
+    guard(request)
+    assert made.told == [("refusal", "c2", "", 0), ("failure", "c1", "", 0)]
+
+
+def test_an_attempt_that_never_began_is_no_act():
+    made = driver(request=lambda now, arrival: [Send(arrival.request, "s0", -1.0)])
+    arrive(made, Call("c1", budget=500.0))
+    assert made.told == [] and made.servers.done == []
+
+
+def test_time_goes_on_evenly_however_the_wall_clock_jumps():
+    loop, wall = Loop(), [5000.0]
+    clock = Clock(loop, lambda: wall[0])
+    assert clock.now() == 5_000_000.0
+    wall[0], loop.now = 1.0, 1001.0
+    assert (clock.now(), clock.wall()) == (5_001_000.0, 1.0)
+    assert clock.at(clock.now()) == 1001.0
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -55,10 +55,13 @@
 # unseeded random; time and randomness are handed in.
 PURE = {
     "config/changes.py",
+    "config/events.py",
     "config/fronts.py",
     "config/limits.py",
+    "config/peers.py",
     "config/services.py",
     "config/sources.py",
+    "config/state.py",
     "engine/connections.py",
     "engine/lag.py",
     "engine/limits.py",
@@ -74,6 +77,9 @@
     "load/wire.py",
     "membership/lists.py",
     "membership/static.py",
+    "membership/whole.py",
+    "state/ports.py",
+    "state/records.py",
 }
 IMPURE = {
     "__main__.py",
@@ -84,10 +90,13 @@
     "config/operator.py",
     "config/options.py",
     "config/platform.py",
+    "daemon/events.py",
     "daemon/overload.py",
     "daemon/peers.py",
     "daemon/process.py",
     "daemon/recording.py",
+    "daemon/rules.py",
+    "daemon/seams.py",
     "daemon/sidecar.py",
     "daemon/signals.py",
     "daemon/sockets.py",
@@ -95,6 +104,7 @@
     "engine/clock.py",
     "engine/driver.py",
     "engine/log.py",
+    "engine/watched.py",
     "http/accept.py",
     "http/downstream.py",
     "http/front.py",
@@ -110,6 +120,10 @@
     "load/trace.py",
     "load/worker.py",
     "membership/registry.py",
+    "state/files.py",
+    "state/lists.py",
+    "state/snapshots.py",
+    "state/writer.py",
 }
 FORBIDDEN = {
     *("asyncio", "socket", "select", "selectors", "threading", "multiprocessing", "subprocess", "signal"),
