Count a stop also for what is read in the turn after the late beat

Cause: fordtrestle/engine/lag.py LagMeter._beat. A stopped process wakes from epoll_wait by EINTR (signal(7)) with its time over, so its timers run first and the beat moved its due time on before the sockets were read; what had waited for 320 ms then counted as read at once (late_ms 0.0 for all reads of that turn). Ruled out: the relay (late changes under 1 ms), the servers (half-open link plays no part in a cut-down schedule), the deadline timers themselves (armed right, from a wrong begin).

Change: after a beat that is 100 ms late or more, the due time moves on one turn later. Costs nothing while the loop keeps up.

--- a/fordtrestle/engine/lag.py
+++ b/fordtrestle/engine/lag.py
@@ -45,7 +45,16 @@
         self._scheduler.call_later(BEAT_S, self._beat)
 
     def _beat(self) -> None:
-        self._late.append(self.now_ms)
+        late_ms = self.now_ms
+        self._late.append(late_ms)
+        if late_ms < BEAT_S * 1000.0:
+            self._go_on()
+        else:
+            # Guards against a stop that counts for nothing: a process that was stopped as it slept sees its
+            # timers before its sockets (EINTR, signal(7)), which are read in the next turn.
+            self._scheduler.call_later(0.0, self._go_on)
+
+    def _go_on(self) -> None:
         self.due_ms = math.inf
         if self._busy():
             self._start()
--- a/tests/engine/test_lag.py
+++ b/tests/engine/test_lag.py
@@ -37,6 +37,12 @@
     def stall(self, seconds):
         self.now += seconds
 
+    def turn(self):
+        """One turn of the loop: what is due as it begins."""
+        due = [heapq.heappop(self._due) for _ in range(sum(row[0] <= self.now for row in self._due))]
+        for _, _, callback, args in due:
+            callback(*args)
+
     @property
     def pending(self):
         return len(self._due)
@@ -84,3 +90,20 @@
     assert meter.now_ms == 0.0
     meter.wake()
     assert loop.pending == 1 and meter.now_ms == 0.0
+
+
+def test_what_is_read_in_the_turn_after_a_late_beat_has_waited_too():
+    """A process that was stopped in its sleep sees its timers first, and its sockets in the next turn."""
+    loop = Virtual()
+    meter = LagMeter(loop, lambda: loop.now * 1000.0, lambda: True)
+    meter.wake()
+    loop.run(0.05)
+    loop.stall(0.5)
+    loop.turn()  # the beat, and no socket
+    assert meter.now_ms >= 400.0  # what is read now
+    loop.turn()
+    assert meter.now_ms == 0.0 and loop.pending == 1
+    loop.run(loop.now + 0.1)
+    loop.stall(0.03)
+    loop.turn()  # a beat that is a little late tells of no stop
+    assert meter.now_ms == 0.0
