--- a/tests/rig/cluster/test_cluster.py
+++ b/tests/rig/cluster/test_cluster.py
@@ -18,7 +18,7 @@
 from benchmarks import cluster_faults
 from rig import ledger
 from rig.cluster import schedules, site
-from rig.cluster.cluster import REGISTRY, Cluster, Restorable
+from rig.cluster.cluster import REGISTRY, Cluster, Restorable, _killed_s
 from rig.cluster.history import Started
 from rig.cluster.judging import Change, Disks, Down, Excuses, Played, alike, judge, told_rows
 from rig.cluster.live import View, Watch, tail
@@ -454,3 +454,11 @@
         for count in (2, 100):
             made = cluster_faults.schedule_of(name, count, 1)
             assert schedules.read(made.encode(), name) == made
+
+
+def test_a_node_that_was_told_to_end_and_then_killed_is_gone_from_the_kill_on():
+    """Guards against calls that it took meanwhile being held for taken by a dead process."""
+    down = Down("n0", 1.0, 3.0, killed=True)
+    killed = [("n0", 0.5), ("n1", 1.2), ("n0", 1.6), ("n0", 9.0)]
+    assert _killed_s(down, killed) == 1.6
+    assert _killed_s(down, []) == 1.0
