Let settings change whole between two requests, in module, driver, front and pool

Need: agreed rules change settings in a running process; until now they were read once.

Change: Balancer.settle keeps what was learned and takes other settings, whole or not at all; an open request goes by the stricter of old and new (an unsafe one stays unsafe, a window that shrank holds, attempts are the fewer).

--- a/fordtrestle/engine/driver.py
+++ b/fordtrestle/engine/driver.py
@@ -140,6 +140,21 @@
         """A message of another sidecar."""
         self._ask(None, self._balancer.peer_message, peer, data)
 
+    def settle(self, settings: model.Settings, max_open: int | None = None) -> bool:
+        """Other settings, whole, and other most requests open at once, for all that is done from now on.
+
+        False where the module did not take them: then all goes on by those before. To be called between two
+        events, and never from within what one of them calls."""
+        try:
+            actions = self._balancer.settle(self._clock.now(), settings)
+        except Exception:
+            log(traceback.format_exc())
+            return False
+        self._settings = settings
+        self._max_open = self._max_open if max_open is None else max_open
+        self._ask(None, lambda now: actions)
+        return True
+
     def _new_id(self) -> int:
         while self._next_id in self._requests:
             self._next_id = (self._next_id + 1) % 2**32
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -42,7 +42,7 @@
 
     __slots__ = (
         *("_body", "_head", "again", "answer", "band", "budget", "call_id", "charged", "connection"),
-        *("keep_alive", "key", "mutates", "request", "size", "tenant", "work"),
+        *("keep_alive", "key", "mutates", "names", "request", "size", "tenant", "work"),
     )
 
     def __init__(self, connection: ClientConnection) -> None:
@@ -55,6 +55,7 @@
         self.work: float | None = None
         self.again = self.mutates = False
         self.budget = 0.0
+        self.names: RequestNames | None = None  # by which its head was judged
         self.call_id = ""
         self.size = 0  # bytes that it holds for as long as it may be sent
         self.charged = 0  # bytes in the front's book, from taking it until nothing of it is out
@@ -64,6 +65,7 @@
     def read(self, message: Message, names: RequestNames) -> None:
         """Take in the head of a request for servers; `BadRequest` says what is wrong with it."""
         kind = requests.class_of(message, names)
+        self.names = names
         self.band = kind.band
         self.budget = requests.budget_of(message.needed("x-budget"))
         self.call_id = message.needed("x-call-id")
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -13,7 +13,7 @@
 from fordtrestle.engine.limits import Budget, Part
 from fordtrestle.engine.log import log
 from fordtrestle.engine.ports import Address
-from fordtrestle.http import stream
+from fordtrestle.http import requests, stream
 from fordtrestle.http.accept import Acceptor, Newcomer, queued
 from fordtrestle.http.downstream import SEND_BUFFER, ClientCall, ClientConnection, Guest, Taker
 from fordtrestle.http.requests import BadRequest, Message, RequestNames
@@ -109,6 +109,11 @@
         for acceptor in self._acceptors:
             acceptor.pause(firm=True)
 
+    def settle(self, names: RequestNames, retry_after_ms: float) -> None:
+        """Other classes and tenants, whole, for all requests that are not taken yet; connections stay."""
+        self._names = names
+        self._retry_after_ms = retry_after_ms
+
     def stop_listening(self) -> None:
         """Take no new connection but those that the machine has accepted already, and close each one once it
         stands between requests."""
@@ -339,6 +344,8 @@
             self.note(call)
         try:
             self._unseen(call)
+            if call.names is not self._names and call.names is not None:
+                requests.judge_again(call.band, call.tenant, call.names, self._names)
         except BadRequest as error:
             call.answer = (error.status, [], f"{error}\n".encode())
             return
--- a/fordtrestle/http/pool.py
+++ b/fordtrestle/http/pool.py
@@ -53,21 +53,31 @@
     ) -> None:
         self._loop = loop
         self._clock = clock
-        self._connect_timeout = options.connect_timeout_ms / 1000.0
-        self._idle_most = options.idle_close_ms * IDLE_SHARE
-        self._grace = max(0.0, options.drain_grace_ms - GRACE_MARGIN_MS)
-        self.report_fields = options.report_fields
-        self._probe_target = b"/stats" if self.report_fields else b"/health/live"
+        self._grace = 0.0
+        self._servers: dict[str, UpstreamServer] = {}
+        self._opening: dict[asyncio.Task[None], UpstreamServer] = {}
+        self.settle(options)
         self.budget = budget
         budget.descriptors.reclaim = self._give_way
         self._idle: dict[UpstreamConnection, None] = {}  # of all servers, the longest first
-        self._servers: dict[str, UpstreamServer] = {}
         self._connections: set[UpstreamConnection] = set()
         self._looking: asyncio.TimerHandle | None = None
         self._short: dict[UpstreamConnection, int] = {}  # whose answers wait for room, and for how much
-        self._opening: set[asyncio.Task[None]] = set()
         self._sweeping = False
 
+    def settle(self, options: PoolOptions) -> None:
+        """Other options, whole, from now on; connections stay, as far as they may lie idle for so long.
+
+        Where the grace is shorter, servers that leave already have no more, nor what is being connected."""
+        self._connect_timeout = options.connect_timeout_ms / 1000.0
+        self._idle_most = options.idle_close_ms * IDLE_SHARE
+        grace = max(0.0, options.drain_grace_ms - GRACE_MARGIN_MS)
+        shorter, self._grace = max(0.0, self._grace - grace), grace
+        for server in {id(at): at for at in (*self._servers.values(), *self._opening.values())}.values():
+            server.closed_from -= shorter
+        self.report_fields = options.report_fields
+        self._probe_target = b"/stats" if self.report_fields else b"/health/live"
+
     # --- what the driver asks for --------------------------------------------
 
     def send(
@@ -260,11 +270,11 @@
             return
         made: list[UpstreamConnection] = []  # once it is there it gives its descriptor back itself
         task = self._loop.create_task(self._connect(server, exchange, made))
-        self._opening.add(task)
+        self._opening[task] = server
 
         def done(ended: asyncio.Task[None]) -> None:
             # Here, since one that is cancelled before its first step never enters its own `finally`.
-            self._opening.discard(ended)
+            self._opening.pop(ended, None)
             if not made:
                 self.budget.descriptors.give()
 
--- a/fordtrestle/http/requests.py
+++ b/fordtrestle/http/requests.py
@@ -177,6 +177,21 @@
     return kind
 
 
+def judge_again(band: int, tenant: int, then: RequestNames, now: RequestNames) -> None:
+    """Other names hold than as a head was judged: `BadRequest` where it would not be taken as it was.
+
+    Guards against a request that is whole only after its class or caller has gone, or its class is asked for
+    in another form: what it is asked for by now can't be read from it any more."""
+    name = {kind.band: name for name, kind in then.classes.items()}[band]
+    if name not in now.classes:
+        raise BadRequest(400, "no such path")
+    caller = {index: name for name, index in then.tenants.items()}.get(tenant, "")
+    if then.tenants and now.tenants and caller not in now.tenants:
+        raise BadRequest(400, "X-Caller: not known")
+    if now.classes[name] != then.classes[name] or (now.tenants and now.tenants.get(caller) != tenant):
+        raise BadRequest(503, "what is asked for in a request of this class has changed")
+
+
 def budget_of(text: str) -> float:
     match = BUDGET.fullmatch(text)
     if match is None:
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -12,7 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
 from poppypulley import model
@@ -210,17 +210,26 @@
     """
 
     def __init__(self, settings: model.Settings) -> None:
-        self._by_work = settings.worth_by_work
-        self._over_worth = settings.over_share_worth
-        self._worst_class = settings.worst_class
-        whole = sum(settings.allowances) or 1.0
-        self._shares = [allowance / whole for allowance in settings.allowances]
-        self._seen = [0.0] * len(self._shares)
+        self._seen: list[float] = []
         self._seen_all = 0.0
         self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked and its worth
         self._level = 0.0
         self._at = 0.0
         self.pressure = 0.0
+        self._worths: object = None
+        self.settle(settings)
+
+    def settle(self, settings: model.Settings) -> None:
+        """Go by these settings; the mix is forgotten where they tell of other worths."""
+        self._by_work = settings.worth_by_work
+        self._over_worth = settings.over_share_worth
+        self._worst_class = settings.worst_class
+        whole = sum(settings.allowances) or 1.0
+        self._shares = [allowance / whole for allowance in settings.allowances]
+        self._seen += [0.0] * (len(self._shares) - len(self._seen))
+        worths = self._by_work, self._over_worth, [profile.worth for profile in settings.profiles]
+        if worths != self._worths:
+            self._mix, self._worths = {}, worths
 
     def arrive(self, band: int, worth: float, work: float, tenant: int, luck: float) -> bool:
         """Count an arrival; whether it is held to be past its tenant's share."""
@@ -265,7 +274,7 @@
         need = share * sum(work for work, _ in self._mix.values())
         kinds = sorted((not past, worth / work, band) for (band, past), (work, worth) in self._mix.items())
         chance, least, taken, lost = 0.0, math.inf, 0.0, 0.0
-        worth_all = sum(worth for _, worth in self._mix.values())
+        worth_all = sum(worth for _, worth in self._mix.values()) or 1.0  # classes may be worth nothing
         mine = False
         for within, _, kind in kinds:
             work, worth = self._mix[kind, not within]
@@ -386,6 +395,8 @@
     profile: model.Profile
     arrived: float
     give_up_at: float
+    attempts_most: int
+    wait_most: float  # to come back after, as a refusal says
     work: float = 1.0
     over: bool = False
     in_turn: bool = False
@@ -431,45 +442,40 @@
         return min(owing.values()) if len(owing) >= CUT_OFF_SERVERS else math.inf
 
 
+def stricter(taken: model.Profile, told: model.Profile) -> model.Profile:
+    """By what a request taken by one profile may be sent again once another holds: what both allow."""
+    if told.semantics == "pure" or taken.semantics == "side_effect":
+        return taken
+    groups = {taken.group, told.group} - {"all"}
+    if taken.semantics != told.semantics or len(groups) > 1:
+        return replace(taken, semantics="side_effect")  # one taken as pure has no key to go by
+    return replace(taken, group=groups.pop() if groups else "all", key_ttl=min(taken.key_ttl, told.key_ttl))
+
+
 class Balancer:
     """The decisions of one sidecar: events in, actions out."""
 
     def __init__(self, now: float, settings: model.Settings, seed: int) -> None:
-        self._set = settings
         self._rng = random.Random(seed)
         self._throttle = Throttle()
         self._shed = Shed(settings)
         self._servers: dict[str, Server] = {}
-        self._ring: list[Server] = []
-        self._top_weight = 1.0
         self._resting: dict[str, Server] = {}
         self._requests: dict[int, Request] = {}
-        told = {"inflight", "queue"} & set(settings.report_fields)
-        self._reports = settings.report_how == "inline" and bool(told)
         self._mean_work = 0.0
-        self._subset = SUBSET_PRICED if settings.prices.get("Connection") else SUBSET
         self._open = 0
         self._pace = Pace()
         self._kind_pace: dict[int, Pace] = {}
         self._keys: deque[int] = deque()
         self._key_counts: dict[int, int] = {}
-        # The worth that a crossing costs, as a share of what a request of each class is worth.
-        worths = [profile.worth for profile in settings.profiles]
-        price = settings.prices.get("CrossZone", 0.0)
-        self._zoned = settings.zones > 1 and price >= CROSS_PRICE_LEAST
-        self._margins = [CROSS_MARGIN * price * max(worths) / (worth or 1.0) for worth in worths]
-        self._spill = [0.0] * len(worths)  # part of each class that crosses
+        self._spill: list[float] = []  # part of each class that crosses
         self._far_miss = 0.0
-        self._groups: dict[tuple[str, int], list[Server]] = {}
         self._zones: dict[int, Zone] = {}
         self._cut_off: set[int] = set()
         self._cut_off_at = -math.inf
-        self._near: list[Server] = []
-        self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
-        self._idle_learned = settings.idle_close
-        self._idle_at = now
-        self._patience = [0.0] * len(worths)  # by class; 0 before the first answer
+        self._idle_learned, self._idle_at = settings.idle_close, now
+        self._patience: list[float] = []  # by class; 0 before the first answer
         self._failed, self._failed_at = 0, now  # attempts since the last that the service took, and the first
         self._away = False  # an outage: nothing at all is accepted
         self._trials_at = now
@@ -477,31 +483,76 @@
         self._slowness = SLOW  # mean share of the aim that answers take
         self._turns: dict[int, Turn] = {}
         self._born = now
-        self._sends = 0.0  # fading count of sends, for the own rate
-        self._sends_at = now
+        self._sends, self._sends_at = 0.0, now  # fading count of sends, for the own rate
         self._most_servers = 1.0
         self._ask_pending = False
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
+        self._go_by(settings)
+
+    def _go_by(self, settings: model.Settings) -> None:
+        """All that follows from settings alone; what was learned is not touched."""
+        self._set = settings
+        told = {"inflight", "queue"} & set(settings.report_fields)
+        self._reports = settings.report_how == "inline" and bool(told)
+        self._subset = SUBSET_PRICED if settings.prices.get("Connection") else SUBSET
+        # The worth that a crossing costs, as a share of what a request of each class is worth.
+        worths = [profile.worth for profile in settings.profiles]
+        price = settings.prices.get("CrossZone", 0.0)
+        self._zoned = settings.zones > 1 and price >= CROSS_PRICE_LEAST
+        self._margins = [CROSS_MARGIN * price * max(worths) / (worth or 1.0) for worth in worths]
+        self._spill += [0.0] * (len(worths) - len(self._spill))
+        self._patience += [0.0] * (len(worths) - len(self._patience))
+        self._attempts_most = [settings.max_attempts * (not p.gone) for p in settings.profiles]
+        self._wait_most = settings.max_retry_after * settings.retry_after
+        self._rebuild()
+        self._shed.settle(settings)
 
     # --- events -----------------------------------------------------------
 
+    def settle(self, now: float, settings: model.Settings) -> list[model.Action]:
+        """Other settings from now on; classes keep their places, or it is a `ValueError`. Requests that are
+        open keep to the stricter of both. After a fault all is as it was."""
+        before, places = self._set, settings.profiles
+        if len(places) < len(before.profiles):
+            raise ValueError(f"{len(places)} classes: {len(before.profiles)} have their places")
+        asked = [(r, stricter(r.profile, places[r.band])) for r in self._requests.values()]
+        longer = max(0.0, settings.settle_after_doubt - before.settle_after_doubt)
+        try:
+            self._go_by(settings)
+        except Exception:
+            self._go_by(before)
+            raise
+        for turn in self._turns.values():
+            turn.rest_until += longer
+        for request, profile in asked:
+            request.profile = profile
+            request.attempts_most = min(request.attempts_most, self._attempts_most[request.band])
+            request.wait_most = min(request.wait_most, self._wait_most)
+            if places[request.band].in_turn and not request.in_turn and request.key is not None:
+                # It runs already, and others may: what comes waits for it, and it is not sent again.
+                request.in_turn, request.attempts_most = True, 0
+                self._turns.setdefault(request.key, Turn()).line.appendleft(request)
+        for server in self._servers.values() if settings.release_within != before.release_within else ():
+            self._release(server)
+        return self._take()
+
     def request(self, now: float, arrival: model.Arrival) -> list[model.Action]:
         """A client's request: refuse it at once or send it."""
-        if not 0 <= arrival.band < len(self._set.profiles):
-            raise ValueError(f"request {arrival.request}: no class {arrival.band}")
-        profile, key = self._set.profiles[arrival.band], arrival.key
+        band, key = arrival.band, arrival.key
+        if not 0 <= band < len(self._set.profiles):
+            raise ValueError(f"request {arrival.request}: no class {band}")
+        profile, most, wait = self._set.profiles[band], self._attempts_most[band], self._wait_most
         until = arrival.give_up_at if math.isfinite(arrival.give_up_at) else now + profile.deadline
-        request = Request(arrival.request, arrival.band, key, profile, now, until)
+        request = Request(arrival.request, band, key, profile, now, until, most, wait)
         # A figure that is not finite must not reach a time-out: the class's own serves.
         request.work = arrival.work if arrival.work and 0.0 < arrival.work < math.inf else 1.0
         request.in_turn = profile.in_turn and key is not None
         self._requests[request.id] = request
         gain = WORK_MEMORY if self._mean_work else 1.0
         self._mean_work += gain * (request.work - self._mean_work)
-        request.over = self._shed.arrive(
-            arrival.band, profile.worth, request.work, arrival.tenant, self._rng.random()
-        )
+        luck = self._rng.random()
+        request.over = self._shed.arrive(band, profile.worth, request.work, arrival.tenant, luck)
         if self._set.warm_keys and key is not None:
             self._count_key(key)
         if self._too_heavy(now, request):
@@ -599,10 +650,8 @@
         else:
             self._ask_delay = ASK_AGAIN_MS
         if form != "changes":
-            named = set()
             entries = list(entries)
-            for entry in entries:
-                named.add(entry.server)
+            named = {entry.server for entry in entries}
             for name, server in self._servers.items():
                 if name not in named and server.usable:
                     server.usable = False
@@ -612,6 +661,7 @@
             self._list(now, entry)
         self._forget_gone(now)
         self._rebuild()
+        self._most_servers = max(1.0, len(self._ring), 0.98 * self._most_servers)
         return self._take()
 
     def pressure(self, now: float, share: float) -> list[model.Action]:
@@ -641,13 +691,14 @@
 
     def _try(self, now: float, request: Request) -> None:
         """Throttle, draw, then send to the drawn with fewest in flight per capacity."""
-        if self._is_out(now):
-            self._trial(now, request)
-            return
-        drop = self._throttle.drop_chance(now)
-        chance = self._shed.chance(now, drop, request.band, request.over)
-        if chance > 0.0 and self._rng.random() < chance:
-            self._throttle.add(now, 0.0)
+        if not self._is_out(now):
+            drop = self._throttle.drop_chance(now)
+            chance = self._shed.chance(now, drop, request.band, request.over)
+            if chance > 0.0 and self._rng.random() < chance:
+                self._throttle.add(now, 0.0)
+                self._give_up(now, request)
+                return
+        elif not self._trial(now):
             self._give_up(now, request)
             return
         drawn = self._draw(now, request)
@@ -664,22 +715,16 @@
                 server.rest_until, server.strikes = 0.0, 0  # any may be the first that is back
         return self._away
 
-    def _trial(self, now: float, request: Request) -> None:
+    def _trial(self, now: float) -> bool:
         """In an outage: send, unless too many trials are silent. Refused connections hold none back.
 
         Each sidecar has its part of what a server may be sent, since all act alike."""
         part = len(self._ring) / self._set.balancers
         gained = (now - self._trials_at) * TRIALS_PER_S / 1000.0 * part
-        if self._open >= TRIALS_HELD * part + self._rng.random():
-            if gained < 1.0:
-                self._give_up(now, request)
-                return
+        full = self._open >= TRIALS_HELD * part + self._rng.random()
+        if full and gained >= 1.0:
             self._trials_at = now
-        drawn = self._draw(now, request)
-        if not drawn:
-            self._give_up(now, request)
-        else:
-            self._send(now, request, min(drawn, key=lambda server: self._load(now, server)))
+        return not full or gained >= 1.0
 
     def _usual(self) -> float:
         """The time that an answer usually takes; 0 before the first."""
@@ -730,8 +775,8 @@
 
     def _zone_trial(self, now: float, request: Request) -> list[Server]:
         """A server of a zone that is held to be cut off, if its trial is due and there is time for others."""
-        left = request.useful_until() - now
-        if request.attempts or left < TRIAL_USUAL * self._usual() + self._set.connect_timeout:
+        left, needed = request.useful_until() - now, TRIAL_USUAL * self._usual() + self._set.connect_timeout
+        if request.attempts or not request.attempts_most or left < needed:
             return []
         for name in sorted(self._cut_off):
             zone = self._zones[name]
@@ -1079,8 +1124,7 @@
 
     def _strike(self, now: float, server: Server) -> None:
         """Eject a server for a while, unless too many look bad to be believed."""
-        for name in [n for n, s in self._resting.items() if s.rest_until <= now]:
-            del self._resting[name]
+        self._resting = {name: s for name, s in self._resting.items() if s.rest_until > now}
         if self._away:
             return
         if len(self._resting.keys() - {server.name}) >= EJECT_SHARE * len(self._ring):
@@ -1094,7 +1138,7 @@
 
     def _after_failure(self, now: float, request: Request) -> None:
         """No attempt is out: resend as far as class, time and throttle allow."""
-        if len(request.attempts) < self._set.max_attempts and now < request.useful_until():
+        if len(request.attempts) < request.attempts_most and now < request.useful_until():
             self._try(now, request)
         else:
             self._give_up(now, request)
@@ -1105,7 +1149,7 @@
         whole = max(0.0, (useful if useful > now else request.give_up_at) - now)
         again = profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
         quick = self._slowness < SLOW and now - self._silent_at < REST_MAX_MS
-        if again and quick and len(request.attempts) + 1 < self._set.max_attempts:
+        if again and quick and len(request.attempts) + 1 < request.attempts_most:
             # Guards against hung and silent servers, also where they hold up a key's line. Only
             # after one was met and while answers are quick: in a crowd repeats would add to it.
             usual = self._usual()
@@ -1161,13 +1205,13 @@
     def _may_send(self, now: float, request: Request, server: Server) -> bool:
         if request.done or not server.usable or now >= request.give_up_at:
             return False
-        if len(request.attempts) >= self._set.max_attempts:
+        if len(request.attempts) >= request.attempts_most:
             return False
         if request.out and not self._set.parallel_tries:
             return False
-        if request.in_turn and not request.attempts and request.key is not None:
+        if request.in_turn and request.key is not None:
             turn = self._turns[request.key]
-            if turn.line[0] is not request or now < turn.rest_until:
+            if turn.line[0] is not request or (now < turn.rest_until and not request.attempts):
                 return False
         bound = request.bound()
         profile = request.profile
@@ -1212,7 +1256,7 @@
         """The final answer where no attempt has served."""
         if request.done or request.out:
             return
-        wait = min(COME_BACK * request.profile.objective, self._set.max_retry_after * self._set.retry_after)
+        wait = min(COME_BACK * request.profile.objective, request.wait_most)
         refuse = self._may_refuse(request)
         self._out.append(model.Refuse(request.id, wait) if refuse else model.Fail(request.id))
         self._close(request)
@@ -1281,12 +1325,11 @@
         self._ring = [server for server in ring[start:] + ring[:start] if server.usable]
         self._near = [server for server in self._ring if server.zone == self._set.locality]
         self._far = [server for server in self._ring if server.zone != self._set.locality]
-        self._groups = {}
+        self._groups: dict[tuple[str, int], list[Server]] = {}
         for server in self._ring:
             for group in ("zone", "cell"):
                 self._groups.setdefault(self._group(group, server), []).append(server)
         self._top_weight = max((server.weight for server in self._ring), default=1.0)
-        self._most_servers = max(1.0, len(self._ring), 0.98 * self._most_servers)
 
     def _ask(self, delay: float) -> None:
         """Ask discovery again later; jittered, since every sidecar does."""
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -133,6 +133,7 @@
     streaming: bool
     worth: float
     in_turn: bool  # requests with one key run one at a time, in the order taken
+    gone: bool = False  # of settings that have changed: the class keeps its place, and no attempt is begun
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/engine/test_driver.py
@@ -0,0 +1,83 @@
+"""Settings that change whole, between two requests, and a module that does not take them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from fordtrestle.engine.clock import Clock
+from fordtrestle.engine.driver import Driver, EngineOptions
+from fordtrestle.engine.ports import Result
+from poppypulley import model
+from poppypulley.model import CloseIdle, Outcome
+from tests.engine.test_watched import Call, Loop, Servers, arrive, driver, retried
+from tests.loopback import SETTINGS
+
+TOLD = model.Settings.parse(SETTINGS)
+
+
+class Closing(Servers):
+    """Servers whose idle connections are closed by name."""
+
+    def __init__(self):
+        super().__init__()
+        self.closed = []
+
+    def close_idle(self, server):
+        self.closed.append(server)
+
+
+def scripted(**scripts):
+    made = driver(most=1, **scripts)
+    made.servers = made._upstreams = Closing()
+    return made
+
+
+def test_settings_reach_the_module_and_what_it_decides_of_them_is_done():
+    made = scripted(settle=lambda now, settings: [CloseIdle("s9")])
+    other = dataclasses.replace(TOLD, max_attempts=1)
+    assert made.settle(other) is True
+    assert made._balancer.named("settle") == [[other]] and made.servers.closed == ["s9"]
+
+
+def test_no_attempt_is_begun_past_the_new_most_and_no_more_calls_are_open():
+    made = scripted(outcome=retried)
+    arrive(made, Call("c1"))
+    made.settle(dataclasses.replace(TOLD, max_attempts=1), max_open=2)
+    arrive(made, Call("c2"))
+    assert arrive(made, Call("c3")).answers == ["refused"]
+    assert len(made.servers.done) == 2
+    made.servers.done[0](Result(Outcome.ERROR))
+    assert len(made.servers.done) == 2  # the module wanted a retry
+
+
+def test_a_module_that_does_not_take_settings_goes_on_by_those_before(capsys):
+    made = scripted(outcome=retried, settle=lambda now, settings: 1 / 0)
+    first = arrive(made, Call("c1"))
+    assert made.settle(dataclasses.replace(TOLD, max_attempts=1), max_open=5) is False
+    assert "ZeroDivisionError" in capsys.readouterr().err
+    assert arrive(made, Call("c2")).answers == ["refused"]
+    made.servers.done[0](Result(Outcome.ERROR))
+    assert len(made.servers.done) == 2 and first.answers == []
+
+
+def test_a_fault_in_an_action_of_it_leaves_module_and_engine_on_the_same_settings(capsys):
+    made = scripted(settle=lambda now, settings: [CloseIdle("s9")])
+    made._upstreams = None
+    other = dataclasses.replace(TOLD, max_attempts=1)
+    assert made.settle(other) is True and made._settings is other
+
+
+def test_a_call_of_a_class_that_goes_gets_its_one_answer():
+    loop = Loop()
+    made = Driver(loop, Clock(loop), EngineOptions(TOLD, 1, 9))
+    servers = Closing()
+    made.connect(servers, None, None)
+    made._balancer.server_list(made._clock.now(), "all", [model.Listing("s0"), model.Listing("s1")])
+    call = Call("c1")
+    call.band = 2
+    request = made.arrive(call, made._clock.now())
+    gone = tuple(dataclasses.replace(row, gone=band == 2) for band, row in enumerate(TOLD.profiles))
+    assert made.settle(dataclasses.replace(TOLD, profiles=gone))
+    servers.done[0](Result(Outcome.CONNECT_FAILED))
+    assert call.answers == ["refused"] and len(servers.done) == 1 and made.idle
+    assert request.id not in made._requests
--- /dev/null
+++ b/tests/http/test_settle.py
@@ -0,0 +1,149 @@
+"""Names and options that change while connections stand and requests are half sent or out."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from fordtrestle.config import platform
+from fordtrestle.http.requests import BadRequest, RequestClass, RequestNames, judge_again
+from poppypulley.model import Send
+from tests.http.test_front import status_of
+from tests.http.test_upstream import failing, news, pooled
+from tests.loopback import OK, App, Scripted, Upstream, entry, loopback, request, running, told, until
+
+LOOK, BOOK, PAY = RequestClass(0, "GET", False), RequestClass(1, "POST", True), RequestClass(2, "POST", False)
+NAMES = RequestNames({"look": LOOK, "book": BOOK, "pay": PAY}, {"acme": 0, "globex": 1})
+
+
+def names(without="", **classes):
+    """The names that requests of the tests use, less one and with others."""
+    rows = {name: kind for name, kind in {**NAMES.classes, **classes}.items() if name != without}
+    return RequestNames(rows, {name: at for name, at in NAMES.tenants.items() if name != without})
+
+
+@pytest.mark.parametrize(
+    ("band", "tenant", "now", "status"),
+    [
+        (0, 1, names(), None),
+        (0, 1, names("pay"), None),
+        (0, 1, names("acme"), None),
+        (0, 1, names(new=RequestClass(3, "GET", False)), None),
+        (2, 1, names("pay"), 400),
+        (2, 1, names("globex"), 400),
+        (2, 1, names(pay=RequestClass(2, "GET", False)), 503),
+        (2, 1, names(pay=RequestClass(2, "POST", True)), 503),
+        (2, 1, names(pay=RequestClass(3, "POST", False)), 503),
+        (2, 1, RequestNames(NAMES.classes, {"globex": 0}), 503),
+        (2, 1, RequestNames(NAMES.classes, {}), None),
+    ],
+)
+def test_what_was_judged_is_taken_only_as_it_would_be_by_now(band, tenant, now, status):
+    if status is None:
+        judge_again(band, tenant, NAMES, now)
+    else:
+        with pytest.raises(BadRequest) as raised:
+            judge_again(band, tenant, NAMES, now)
+        assert raised.value.status == status
+
+
+def test_a_caller_that_was_not_asked_for_its_name_counts_for_none():
+    with pytest.raises(BadRequest) as raised:
+        judge_again(0, 0, RequestNames(NAMES.classes, {}), NAMES)
+    assert raised.value.status == 503
+
+
+@loopback
+async def test_a_connection_stays_as_names_change_and_what_has_gone_is_unknown():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask("POST", "/pay")) == 200
+        sidecar.front.settle(names("pay", new=RequestClass(0, "GET", False)), 40.0)
+        assert status_of(await app.ask(target="/new")) == 200
+        assert status_of(await app.ask("POST", "/pay")) == 400
+        assert len(upstream.seen) == 2
+
+
+@loopback
+async def test_a_request_whose_class_goes_while_its_body_comes_is_not_taken():
+    upstream = await Upstream([OK]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(request("POST", "/pay", b"half")[:-4])
+        await until(lambda: sidecar.front._halves)
+        sidecar.front.settle(names("pay"), 0.0)
+        app.writer.write(b"half")
+        assert status_of(await app.answer()) == 400
+        assert module.named("request") == [] and upstream.seen == []
+        assert status_of(await app.ask()) == 200
+
+
+@loopback
+async def test_who_there_is_no_room_for_is_told_the_wait_that_holds_by_now():
+    async with running(balancer=Scripted(request=lambda now, arrival: [])) as sidecar:
+        sidecar.front.settle(NAMES, 2500.0)
+        sidecar.limits.calls.resize(0)
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).headers["retry-after"] == "2.500"
+
+
+# --- servers --------------------------------------------------------------------------
+
+
+def options(**changes):
+    return dataclasses.replace(platform.pool_options(told()), **changes)
+
+
+@pytest.mark.parametrize(("grace_ms", "from_ms"), [(100.0, 1050.0), (9000.0, 1450.0), (0.0, 1000.0)])
+@loopback
+async def test_who_leaves_already_has_the_shorter_grace_from_the_news_of_it(grace_ms, from_ms):
+    upstream = await Upstream([OK]).start()
+    pool = pooled(upstream)
+    pool.update(1000.0, False, news(entry("s0", upstream.address, status="leaving")))
+    pool.settle(options(drain_grace_ms=grace_ms))
+    assert pool._servers["s0"].closed_from == from_ms
+    pool.update(2000.0, False, news(entry("s0", upstream.address)))
+    pool.update(3000.0, False, news(entry("s0", upstream.address, status="leaving")))
+    assert pool._servers["s0"].closed_from == 3000.0 + max(0.0, grace_ms - 50.0)
+    upstream.stop()
+
+
+@pytest.mark.parametrize("state", ["leaving", "left"])
+@loopback
+async def test_a_shorter_grace_holds_for_what_is_being_connected(state):
+    upstream = await Upstream([OK]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module, Rules={"StopSendingWithin": 60_000.0}) as sidecar:
+
+        def send_then_hear(now, arrival):
+            def hear():
+                sidecar.pool.update(now, False, news(entry("s0", upstream.address, status=state)))
+                sidecar.pool.settle(options(drain_grace_ms=0.0))
+
+            asyncio.get_running_loop().call_soon(hear)
+            return [Send(arrival.request, "s0", 0.0)]
+
+        module.scripts["request"] = send_then_hear
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask()) == 502
+        assert upstream.seen == []
+
+
+@loopback
+async def test_connections_stay_as_options_change_and_none_lies_idle_for_longer_than_it_may_by_now():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        (connection,) = sidecar.pool._connections
+        sidecar.pool.settle(options(connect_timeout_ms=9.0))
+        assert sidecar.pool._connect_timeout == 0.009
+        assert list(sidecar.pool._connections) == [connection]
+        sidecar.pool.settle(options(idle_close_ms=20.0, report_fields=()))
+        await until(lambda: not sidecar.pool._connections)
+        sidecar.pool.probe("s0", lambda result: None)
+        await until(lambda: upstream.seen[-1].start.startswith("GET /health/live"))
--- a/tests/poppypulley/test_departures.py
+++ b/tests/poppypulley/test_departures.py
@@ -258,6 +258,11 @@
     assert low == pytest.approx(middle) and 0.4 < low < 0.5 and high == 0.0
 
 
+def test_classes_that_are_worth_nothing_are_refused_evenly():
+    """Guards against a division by nothing, which failed each request under pressure."""
+    assert shed_chances([0.0, 0.0], 0.3, 0.2) == pytest.approx([0.3, 0.3], abs=0.02)
+
+
 def test_what_is_past_a_tenants_share_goes_first():
     raw = raw_settings("safe", Tenants=[{"AllowancePerS": 5.0}] * 2, OverShareWorth=0.1)
     shed = Shed(Settings.parse(raw))
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -58,6 +58,7 @@
     "config/events.py",
     "config/fronts.py",
     "config/limits.py",
+    "config/numbering.py",
     "config/peers.py",
     "config/services.py",
     "config/sources.py",
