--- a/fordtrestle/config/operator.py
+++ b/fordtrestle/config/operator.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from fordtrestle.config.cluster import ClusterSpec, read_cluster
 from fordtrestle.config.events import EventsSpec, read_events
 from fordtrestle.config.fronts import FrontSpec, read_fronts
 from fordtrestle.config.limits import LimitsOptions
@@ -53,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """All that an operator file says. `state`, `events` and `peers` are off where they are None."""
+    """All that an operator file says. `state`, `events`, `peers` and `cluster` are off where None."""
 
     services: Mapping[str, ServiceSpec]
     fronts: Mapping[str, FrontSpec]
@@ -63,6 +64,7 @@
     state: StateSpec | None = None
     events: EventsSpec | None = None
     peers: PeersSpec | None = None
+    cluster: ClusterSpec | None = None
 
 
 def read(file: str) -> Operator:
@@ -78,6 +80,7 @@
         state=_optional(root, "state", read_state),
         events=_optional(root, "events", read_events),
         peers=_optional(root, "peers", read_peers),
+        cluster=_optional(root, "cluster", read_cluster),
     )
     root.end()
     _check(told, faults)
@@ -181,6 +184,8 @@
     if told.peers is not None and len(told.services) > 1:
         faults.add("peers", f"one service may speak to its peers, and there are {len(told.services)}")
     _check_shares(told, faults)
+    if told.cluster is not None:
+        _check_cluster(told, faults)
 
 
 def _check_shares(told: Operator, faults: Faults) -> None:
@@ -195,6 +200,14 @@
         faults.add("front", "guaranteed_share leaves nothing for the fronts that have none")
 
 
+def _check_cluster(told: Operator, faults: Faults) -> None:
+    """Guards against a member whose vote or name another life or process could have as well."""
+    if told.state is None:
+        faults.add("cluster", "[state] is needed, to keep what this process has promised")
+    if not told.process.name and not any(fault.at == "process.name" for fault in faults.found):
+        faults.add("cluster", "process.name is needed, to tell this process from the other members")
+
+
 def _check_places(name: str, service: ServiceSpec, source: StaticSpec, faults: Faults) -> None:
     """Guards against a server that would silently count as one of the first zone or kind."""
     for i, server in enumerate(source.servers):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -47,14 +47,23 @@
 # Packages may import from those to their right, never from those to their left.
 ORDER = (
     *("__main__", "cli", "daemon", "config", "upgrade", "rpc", "http", "dns", "load"),
-    *("membership", "state", "engine", "routing", "fleet"),
+    *("membership", "state", "engine", "routing", "fleet", "cluster"),
 )
 APART = {"http", "dns", "rpc"}  # fronts and upstreams of one protocol know nothing of another's
 
 # Each module of the program, and whether it is pure: no asyncio, socket, thread, file, wall clock or
 # unseeded random; time and randomness are handed in.
 PURE = {
+    "cluster/clocks.py",
+    "cluster/content.py",
+    "cluster/difference.py",
+    "cluster/frames.py",
+    "cluster/lease.py",
+    "cluster/messages.py",
+    "cluster/rulebook.py",
+    "cluster/spread.py",
     "config/changes.py",
+    "config/cluster.py",
     "config/events.py",
     "config/fronts.py",
     "config/limits.py",
@@ -66,8 +75,8 @@
     "engine/connections.py",
     "engine/lag.py",
     "engine/limits.py",
-    "engine/pressure.py",
     "engine/ports.py",
+    "engine/pressure.py",
     "engine/schema.py",
     "http/requests.py",
     "http/wire.py",
@@ -79,8 +88,10 @@
     "membership/lists.py",
     "membership/static.py",
     "membership/whole.py",
+    "state/frames.py",
     "state/ports.py",
     "state/records.py",
+    "state/recovery.py",
 }
 IMPURE = {
     "__main__.py",
@@ -91,7 +102,10 @@
     "config/operator.py",
     "config/options.py",
     "config/platform.py",
+    "config/rulebooks.py",
     "daemon/events.py",
+    "daemon/lines.py",
+    "daemon/links.py",
     "daemon/overload.py",
     "daemon/peers.py",
     "daemon/process.py",
@@ -122,7 +136,9 @@
     "load/worker.py",
     "membership/registry.py",
     "state/files.py",
+    "state/journal.py",
     "state/lists.py",
+    "state/segments.py",
     "state/snapshots.py",
     "state/writer.py",
 }
