--- a/tests/config/test_cluster.py
+++ b/tests/config/test_cluster.py
@@ -11,6 +11,8 @@
 from fordtrestle.cluster.lease import LeaseConfig
 from fordtrestle.config import cluster, operator
 from fordtrestle.config.operator import OperatorError
+from fordtrestle.daemon import standalone
+from fordtrestle.daemon.signals import Signals
 from fordtrestle.engine.ports import Address
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -148,3 +150,11 @@
             assert not fault
         except OperatorError as error:
             assert len(error.lines) == 1 and fault
+
+
+def test_serve_refuses_what_it_does_not_act_on(capfd):
+    file = ROOT / "deploy" / "example-agreed.toml"
+    assert standalone.main(str(file), Signals()) == 2
+    assert capfd.readouterr().err == (
+        f"{file}: cluster: this release checks the table and does not act on it; take it out to serve\n"
+    )
