Order entries by a majority of voters, with identities of disks and held promises

Need: agreed rules rest on one order; a voter that lost its disk or got an older one back may give a vote twice.

All pure; nothing runs them yet.

--- /dev/null
+++ b/fordtrestle/cluster/order.py
@@ -0,0 +1,913 @@
+"""One member's part in one order of entries, agreed by a majority of voters. Pure.
+
+Raft (Ongaro and Ousterhout 2014) with pre-vote, check of the own majority, and voters that give no vote
+within `election_ms` of a leader's beat (Ongaro 2014, 4.2.3, 6.2, 9.6). Who votes, and what a lost or older
+disk may not do, is in `members.py`; that nothing is said before what it rests on is durable, in `outbox.py`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Literal, Protocol
+
+from msgspec.structs import replace
+
+from fordtrestle.cluster.log import Applied, Log, State
+from fordtrestle.cluster.members import (
+    Lives,
+    Peer,
+    Recall,
+    Seats,
+    changed,
+    reached,
+    seat_of,
+    voting,
+    with_disk,
+)
+from fordtrestle.cluster.messages import (
+    ENTRIES_MOST,
+    NAME_MOST,
+    Action,
+    Answer,
+    Append,
+    Appended,
+    Ask,
+    Body,
+    Book,
+    Compact,
+    Effective,
+    Entry,
+    Hello,
+    Install,
+    Meta,
+    Noop,
+    Proposed,
+    Remembered,
+    Take,
+    Tell,
+    Vote,
+    Voter,
+    Voters,
+)
+from fordtrestle.cluster.outbox import Outbox
+from fordtrestle.cluster.rulebook import Change, apply, check
+
+FAULTS_MOST = 4  # of a refused rulebook that are told
+NUMBER_MOST = 2**53  # of terms, indexes, beats and lives: what is higher is nobody's
+Role = Literal["follower", "pre", "candidate", "leader"]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderConfig:
+    """Times in ms of the own clock; `drift_ppm`: by how much the rates of two clocks may differ."""
+
+    election_ms: float = 1000.0
+    beat_ms: float = 100.0
+    drift_ppm: float = 1000.0
+    alone_ms: float = 10_000.0  # as `members.py` tells
+    waiting_most: int = 64  # proposals that are not yet committed
+    books_most: int = 16  # rulebooks from the effective one to the last of the log
+    entries_most: int = 256  # applied entries that are kept before they go into a snapshot
+    window: int = 256  # entries sent to one member and not acknowledged
+    stores_most: int = 64
+    held_most: int = 1024  # messages that wait for a store
+
+
+@dataclass(frozen=True, slots=True)
+class SeatTold:
+    """What a leader knows of one seat: `match`: up to where its disk has the log; `silent_ms`: since the last
+    beat that it answered was sent; `counts`: whether it answers by the disk that votes."""
+
+    name: str
+    disk: str
+    match: int
+    silent_ms: float
+    counts: bool
+
+
+class Draws(Protocol):
+    """What is used of a `random.Random`."""
+
+    def getrandbits(self, k: int, /) -> int:
+        """So many random bits."""
+
+    def uniform(self, a: float, b: float) -> float:
+        """A number between the two."""
+
+
+class Order:
+    """A voter, or one that learns. `tick` is wanted at `next_ms`; the first call of any kind begins a life.
+
+    `rng` draws disk identities too: outside of tests its seed has to come from the system's randomness."""
+
+    def __init__(self, name: str, config: OrderConfig, state: State, rng: Draws) -> None:
+        self.name = name
+        self.config = config
+        self.log = Log(state.compact, state.entries)
+        self.applied = Applied.of(state.compact)
+        self.committed = self.applied.index
+        self.meta: Meta = state.meta
+        self.role: Role = "follower"
+        self.leader = ""
+        self._rng = rng
+        self._damaged = state.damaged or not self.log.whole
+        self._out = Outbox(config.stores_most, config.held_most, self.log.last_index)
+        self._lives = Lives(state.meta.seen)
+        self._recall: Recall | None = None  # until it is known what this disk may have promised
+        self._floor = (0, 0)  # the furthest log that the others told of then
+        self._floor_until = self._alone_at = math.inf
+        self._begun = False
+        self._quiet_until = self._hello_at = math.inf
+        self._heard = -math.inf  # when a leader was heard of last
+        self._deadline = math.inf  # when to stand for leader
+        self._ask_at = math.inf
+        self._votes: set[str] = set()
+        self._vote_token = 0
+        self._peers: dict[str, Peer] = {}
+        self._acknowledged: dict[str, int] = {}  # by disk: the highest committed index that it said it had
+        self._since = math.inf  # when the own leadership began
+        self._beat = 0
+        self._beat_at = math.inf
+        self._waiting: dict[int, list[tuple[int, str]]] = {}  # clients and proposals by index
+        self._on: dict[type, Callable[[float, str, Any], None]] = {
+            Hello: self._hello,
+            Remembered: self._remembered,
+            Ask: self._asked,
+            Vote: self._voted,
+            Append: self._append,
+            Install: self._install,
+            Appended: self._appended,
+        }
+
+    # --- what is known ------------------------------------------------------------------------
+
+    @property
+    def term(self) -> int:
+        """The own term."""
+        return self.meta.term
+
+    @property
+    def voters(self) -> Seats:
+        """The seats in force: those of the last entry that names them, committed or not."""
+        return self.log.voters
+
+    @property
+    def votes(self) -> bool:
+        """Whether this member is a voter, and nothing keeps it from voting."""
+        return self._sure and self._me in self.log.voters
+
+    @property
+    def ready(self) -> bool:
+        """Whether it leads and has committed an entry of its term: before, `applied` may lack what an earlier
+        leader committed."""
+        return self.role == "leader" and self.log.term_at(self.committed) == self.term
+
+    def authority_until(self, now_ms: float) -> float:
+        """Until when no other leader can exist, on the own clock; -inf if that can't be known, and while not
+        `ready`.
+
+        A majority has answered a beat, and gives no other vote within `election_ms` of it. The time counts
+        from when the beat was sent, and is shorter by what their clocks may be faster."""
+        if not self.ready:
+            return -math.inf
+        span = self.config.election_ms * (1 - self.config.drift_ppm * 1e-6)
+        return reached(self.log.voters, lambda voter: self._answered(voter, now_ms)) + span
+
+    def seats(self, now_ms: float) -> list[SeatTold]:
+        """What the leader knows of each seat, in order; of a follower only the own one."""
+        told = []
+        for seat in self.log.voters:
+            peer = self._peers.get(seat.name)
+            if seat.name == self.name:
+                own = SeatTold(seat.name, seat.disk, self._out.durable_index, 0.0, self.votes)
+                told.append(own)
+            elif peer is not None:
+                silent = now_ms - peer.answered_ms
+                told.append(SeatTold(seat.name, seat.disk, peer.match, silent, self._sound(seat, peer)))
+        return told
+
+    @property
+    def _me(self) -> Voter:
+        return Voter(self.name, self.meta.disk)
+
+    @property
+    def _sure(self) -> bool:
+        """Whether it may promise anything."""
+        return self._begun and self._recall is None and not self._out.failed
+
+    def _voice(self) -> tuple[str, int]:
+        """Disk and life by which it speaks; who may promise nothing has none, and is not counted."""
+        return (self.meta.disk, self.meta.life) if self._sure else ("", 0)
+
+    # --- events -------------------------------------------------------------------------------
+
+    def receive(self, now_ms: float, sender: str, message: Any) -> list[Action]:
+        """A message of a member; one that is not of the order, or makes no sense, is dropped."""
+        self._begin(now_ms)
+        handler = self._on.get(type(message))
+        late = self._out.busy and getattr(message, "term", 0) > self.term  # a term has to be stored
+        named = 0 < len(sender) <= NAME_MOST and sender != self.name
+        if handler is not None and named and not late and sane(message):
+            handler(now_ms, sender, message)
+        return self._end()
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Time has passed."""
+        self._begin(now_ms)
+        if self._recall is not None:
+            self._ask_others(now_ms)
+        if self.role == "leader":
+            self._lead_on(now_ms)
+        elif now_ms >= self._deadline:
+            self.leader = ""
+            self._stand(now_ms)
+        elif now_ms >= self._ask_at and self.role != "follower":
+            self._ask(now_ms)
+        return self._end()
+
+    def next_ms(self) -> float:
+        """When `tick` is wanted next, on the own clock."""
+        if not self._begun:
+            return -math.inf
+        dues = [self._deadline] if self.role != "leader" else [self._beat_at, self._lapse()]
+        if self.role in ("pre", "candidate"):
+            dues.append(self._ask_at)
+        if self._recall is not None:
+            dues.append(self._hello_at)
+        return min(dues)
+
+    def stored(self, now_ms: float, token: int) -> list[Action]:
+        """A store and all before it are durable."""
+        self._begin(now_ms)
+        self._out.stored(token)
+        if self.role == "candidate" and self._out.durable >= self._vote_token:
+            self._count(now_ms, self.name)
+        elif self.role == "leader":
+            self._advance(now_ms)
+        return self._end()
+
+    def failed(self, now_ms: float, token: int) -> list[Action]:
+        """A store failed: what it held is in doubt for good. The part as voter and leader ends; it learns
+        on."""
+        self._begin(now_ms)
+        if not self._out.failed:
+            self._out.fail()
+            self._tell(f"the disk of {self.name} failed: it votes no more until it starts with a sound one")
+            self._step_down("its disk failed")
+            self.role = "follower"
+            self._recall = None
+        return self._end()
+
+    def propose(
+        self, now_ms: float, change: Change, proposal: str, base: int = 0, client: int = 0
+    ) -> list[Action]:
+        """Ask for a rulebook with `change`. `client` is answered (`Proposed`) once that is committed, or
+        refused.
+
+        One that was asked before is answered with the number it got then, by any member that knows of it."""
+        self._begin(now_ms)
+        number = self.applied.proposals.get(proposal, 0)
+        if number:
+            self._answer(client, Proposed(proposal, "durable", number, self.applied.effective))
+        elif self.role != "leader":
+            self._answer(client, self._elsewhere(proposal))
+        elif (entry := self.log.proposed(proposal, self.applied.index)) is not None:
+            self._wait_for(entry.index, client, proposal)
+        else:
+            self._propose(now_ms, change, proposal, base, client)
+        return self._end()
+
+    def propose_effective(self, now_ms: float, number: int) -> list[Action]:
+        """Put into the log that `number` is in effect; nothing unless it is committed and higher than
+        before."""
+        self._begin(now_ms)
+        if self.ready and self.log.effective < number <= self.applied.pending and not self._out.busy:
+            self._put(now_ms, Effective(number))
+        return self._end()
+
+    def add_voter(self, now_ms: float, name: str, client: int = 0) -> list[Action]:
+        """Give a name a vacant seat; it votes once its disk has all that is committed."""
+        return self._change(now_ms, client, "", name)
+
+    def remove_voter(self, now_ms: float, name: str, client: int = 0) -> list[Action]:
+        """Take a name's seat away; a leader that is away with it steps down as soon as that is committed."""
+        return self._change(now_ms, client, name, "")
+
+    def replace_voter(self, now_ms: float, name: str, other: str, client: int = 0) -> list[Action]:
+        """Take a name's seat away, and give `other` a vacant one."""
+        return self._change(now_ms, client, name, other)
+
+    # --- a life begins ------------------------------------------------------------------------
+
+    def _begin(self, now_ms: float) -> None:
+        if self._begun:
+            return
+        self._begun = True
+        # A vote in the last life may have been refused for a leader's sake, which this one doesn't know.
+        self._quiet_until = now_ms + self.config.election_ms
+        self._rest(now_ms)
+        if self._damaged:
+            self._new_disk("its disk is damaged")
+        elif not self.meta.disk:
+            self._new_disk("")
+        else:
+            self._keep(life=self.meta.life + 1)
+            self._recall = Recall(self._rng.getrandbits(48))
+            self._alone_at = now_ms + self.config.alone_ms
+            self._hello_at = now_ms
+            self._remember(now_ms)
+        if self.applied.books:
+            self._out.tell(Take())
+
+    def _new_disk(self, why: str) -> None:
+        """Be another disk, which never promised anything: what the one before promised is not known any
+        more."""
+        disk = f"{self._rng.getrandbits(64):016x}"
+        self._keep(disk=disk, life=1, vote="")
+        self._recall = None
+        if why:
+            self._tell(f"{why}: {self.name} votes no more until the leader takes it in as disk {disk}")
+
+    def _ask_others(self, now_ms: float) -> None:
+        if now_ms >= self._hello_at and self._recall is not None:
+            self._hello_at = now_ms + self.config.beat_ms
+            hello = Hello(self.meta.disk, self.meta.life, self.log.last_index, self._recall.nonce)
+            for seat in self.log.voters:
+                if seat.name != self.name:
+                    self._out.say(seat.name, hello)
+        self._remember(now_ms)
+
+    def _hello(self, now_ms: float, sender: str, hello: Hello) -> None:
+        self._recall_to(sender, hello.disk, hello.nonce)
+
+    def _recall_to(self, to: str, disk: str, nonce: int) -> None:
+        """Tell what is remembered of a disk: no less than was ever counted. A failed one vouches for none."""
+        by = "" if self._out.failed else self.meta.disk
+        life, acknowledged = self._lives.of(disk), self._acknowledged.get(disk, 0)
+        last = self.log.last_index, self.log.last_term
+        self._out.say(to, Remembered(disk, life, acknowledged, nonce, by, self.term, *last))
+
+    def _remembered(self, now_ms: float, sender: str, told: Remembered) -> None:
+        recall = self._recall
+        if not told.by or told.disk != self.meta.disk or seat_of(self.log.voters, sender) is None:
+            return
+        asked = recall is not None and told.nonce == recall.nonce
+        # Once it may promise, its own life is remembered too. A higher one was never its own; what is
+        # committed and was acknowledged is never dropped: these say so unasked and late too.
+        older = told.life > self.meta.life or (asked and told.life == self.meta.life)
+        if older or told.acknowledged > self.log.last_index:
+            self._step_down("its disk is an older copy")
+            self.role = "follower"
+            self._new_disk(f"its disk was put back to an older copy, as {sender} remembers")
+        elif recall is not None and asked:
+            recall.told[sender] = told
+            self._remember(now_ms)
+
+    def _remember(self, now_ms: float) -> None:
+        """Go by what the others told, if they are enough."""
+        recall, seats = self._recall, self.log.voters
+        if recall is None or not recall.enough(seats, self._me, now_ms >= self._alone_at):
+            return
+        self._recall = None
+        self._floor, self._floor_until = recall.floor(seats), now_ms + self.config.alone_ms
+        term = recall.term()
+        if term > self.term or (term == self.term and not self.meta.vote):
+            # It may have voted in that term and not know any more: the own name bars any other.
+            self._keep(term=term, vote=self.name)
+
+    # --- votes --------------------------------------------------------------------------------
+
+    @property
+    def _stands(self) -> bool:
+        """Whether it may lead: also to commit the change that takes its own seat, which only it may have."""
+        return self._sure and (self._me in self.log.voters or self._me in self.applied.voters)
+
+    def _rest(self, now_ms: float) -> None:
+        """Stand for leader no sooner than after another election time, drawn so that two seldom stand at
+        once."""
+        self._deadline = now_ms + self.config.election_ms * self._rng.uniform(1.0, 2.0)
+
+    def _free(self, now_ms: float) -> bool:
+        """Whether a vote may be given at all: to no one while a leader may hold the own answer to its
+        beat."""
+        if not self._sure or self.role == "leader" or now_ms < self._quiet_until:
+            return False
+        return now_ms >= self._heard + self.config.election_ms
+
+    def _behind(self, now_ms: float, last: tuple[int, int]) -> bool:
+        """Whether a log that ends with this term and index may lack what was committed."""
+        floor = self._floor if now_ms < self._floor_until else (0, 0)
+        return last < max(floor, (self.log.last_term, self.log.last_index))
+
+    def _stand(self, now_ms: float) -> None:
+        """Ask whether votes would be given: who can't win raises nobody's term."""
+        self._rest(now_ms)
+        self.role = "follower"
+        last = self.log.last_term, self.log.last_index
+        if not self._stands or not self._free(now_ms) or self._behind(now_ms, last):
+            return
+        self.role = "pre"
+        self._votes = set()
+        self._ask(now_ms)
+        self._count(now_ms, self.name)
+
+    def _run(self, now_ms: float) -> None:
+        self._rest(now_ms)
+        self.role = "candidate"
+        self._votes = set()
+        self._keep(term=self.term + 1, vote=self.name)
+        self._vote_token = self._out.token
+        self._ask(now_ms)
+
+    def _ask(self, now_ms: float) -> None:
+        """Ask those whose votes are missing, again too: a question or an answer may be lost."""
+        self._ask_at = now_ms + self.config.beat_ms
+        pre = self.role == "pre"
+        last = self.log.last_index, self.log.last_term
+        ask = Ask(self.term + pre, *last, self.meta.disk, self.meta.life, pre)
+        for seat in voting(self.log.voters):
+            if seat.name != self.name and seat.name not in self._votes:
+                self._out.say(seat.name, ask)
+
+    def _asked(self, now_ms: float, sender: str, ask: Ask) -> None:
+        if not ask.disk or self._out.busy:
+            return
+        if ask.life < self._lives.of(ask.disk):
+            self._recall_to(sender, ask.disk, 0)  # of a life that is over
+            return
+        last = ask.last_term, ask.last_index
+        if ask.term < self.term or (ask.pre and ask.term == self.term):
+            self._vote(sender, self.term, False, ask.pre)
+        elif not self._free(now_ms):
+            return
+        elif ask.pre:
+            if not self._behind(now_ms, last):
+                self._vote(sender, ask.term, True, True)
+        else:
+            if ask.term > self.term:
+                self._adopt(now_ms, ask.term, "")
+            given = self.meta.vote in ("", sender) and not self._behind(now_ms, last)
+            if given:
+                self._rest(now_ms)
+                if not self.meta.vote:
+                    self._keep(vote=sender)
+            self._vote(sender, self.term, given, False)
+
+    def _vote(self, to: str, term: int, given: bool, pre: bool) -> None:
+        self._out.say(to, Vote(term, given, *self._voice(), pre))
+
+    def _voted(self, now_ms: float, sender: str, vote: Vote) -> None:
+        if vote.term > self.term and not (vote.pre and vote.given):
+            self._adopt(now_ms, vote.term, "")
+            return
+        pre = self.role == "pre"
+        if not vote.given or vote.pre != pre or (not pre and self.role != "candidate"):
+            return
+        if vote.term == self.term + pre and self._counts(Voter(sender, vote.disk), vote.life):
+            self._count(now_ms, sender)
+
+    def _count(self, now_ms: float, name: str) -> None:
+        self._votes.add(name)
+        if reached(self.log.voters, lambda voter: float(voter.name in self._votes)) < 1.0:
+            return
+        if self.role == "candidate":
+            self._lead(now_ms)
+        elif self._free(now_ms):
+            self._run(now_ms)
+
+    def _counts(self, voter: Voter, life: int) -> bool:
+        """Whether votes and acknowledgements of a disk count: not before its life is durably remembered."""
+        known = self._lives.of(voter.disk)
+        if not voter.disk or voter not in self.log.voters or life < known:
+            return False
+        if life > known:
+            if not self._out.busy:
+                self._keep(seen=self._lives.note(voter.disk, life, self._out.token, self.log.voters))
+            return False
+        return self._lives.known(voter.disk, life, self._out.durable)
+
+    def _adopt(self, now_ms: float, term: int, vote: str) -> None:
+        """Go over to a higher term, as a follower."""
+        if self.role == "leader":
+            self._step_down("another has a higher term")
+            self._rest(now_ms)
+        self.role = "follower"
+        self.leader = ""
+        self._keep(term=term, vote=vote)
+
+    # --- following ----------------------------------------------------------------------------
+
+    def _follow(self, now_ms: float, sender: str, message: Append | Install) -> bool:
+        """Whether a leader's message is one to go by; its term is answered where not."""
+        if message.term < self.term:
+            self._agree(sender, message.beat, False, 0)
+            return False
+        if message.term == self.term and self.role == "leader":
+            self._tell(f"{sender} leads in the own term {self.term}: two of one name?")
+            return False
+        if message.term > self.term:
+            self._adopt(now_ms, message.term, sender)
+        elif not self.meta.vote:
+            self._keep(vote=sender)  # no other can win this term: a vote for one could only do harm
+        self.role, self.leader = "follower", sender
+        self._heard = now_ms
+        self._rest(now_ms)
+        return True
+
+    def _agree(self, to: str, beat: int, ok: bool, match: int) -> None:
+        """Answer a beat: at once, since the leader's authority rests on it, but only for what is on disk."""
+        kept = match if self._out.failed or not ok else min(match, self._out.durable_index)
+        self._out.say(to, Appended(self.term, beat, ok, kept, *self._voice()))
+
+    def _append(self, now_ms: float, sender: str, told: Append) -> None:
+        if (told.entries and self._out.busy) or not self._follow(now_ms, sender, told):
+            return
+        hint = self._fits(told)
+        if any(
+            self.log.base < e.index <= self.committed and self.log.term_at(e.index) != e.term
+            for e in told.entries
+        ):
+            self._tell(f"{sender} would change what is committed: not followed")
+            return
+        if hint is not None:
+            self._agree(sender, told.beat, False, hint)
+            return
+        match = told.previous_index + len(told.entries)
+        if self._take_in(told.entries):
+            self._out.promise(sender, Appended(self.term, told.beat, True, match, *self._voice()))
+        else:
+            self._agree(sender, told.beat, True, match)
+        self._commit(now_ms, min(told.committed, match))
+
+    def _fits(self, told: Append) -> int | None:
+        """None where the log has what stands before the entries; else from where the leader is to try."""
+        index = told.previous_index
+        if index > self.log.last_index:
+            return self.log.last_index
+        term = self.log.term_at(index)
+        if index < self.log.base or term == told.previous_term:
+            return None
+        while index > self.committed and self.log.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _take_in(self, entries: tuple[Entry, ...]) -> bool:
+        """Put a leader's entries into the log, in place of those of other terms; whether any was new."""
+        new = False
+        for entry in entries:
+            if entry.index <= self.log.base or self.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self.log.last_index:
+                self.log.cut(entry.index)
+                self._out.lower(entry.index - 1)
+            self.log.append(entry)
+            self._out.write(entry.index)
+            new = True
+        return new
+
+    def _install(self, now_ms: float, sender: str, told: Install) -> None:
+        if self._out.busy or not self._follow(now_ms, sender, told):
+            return
+        compact = told.compact
+        if compact.index <= self.committed:
+            self._agree(sender, told.beat, True, compact.index)
+            return
+        other = self.log.term_at(compact.index) != compact.term
+        if other:
+            self._out.lower(self.committed)
+        self.log.shorten(compact, whole=other)
+        self._out.snapshot(compact, cut=other)
+        self.applied = Applied.of(compact)
+        self.committed = compact.index
+        self._out.tell(Take())
+        self._out.promise(sender, Appended(self.term, told.beat, True, compact.index, *self._voice()))
+
+    def _commit(self, now_ms: float, index: int) -> None:
+        """Go by all entries up to `index`."""
+        taken = False
+        self.committed = max(self.committed, index)
+        while self.applied.index < self.committed:
+            entry = self.log.at(self.applied.index + 1)
+            taken |= self.applied.take(entry)
+            self._done(entry)
+        if taken:
+            self._out.tell(Take())
+
+    def _shorten(self) -> None:
+        """Put the applied entries into a snapshot, once they are many."""
+        many = self.applied.index - self.log.base >= self.config.entries_most
+        many |= self.log.books >= 2 * self.config.books_most and self.applied.index > self.log.base
+        if many and not self._out.writes and not self._out.busy:
+            compact = self.applied.compact()
+            self.log.shorten(compact)
+            self._out.snapshot(compact, cut=False)
+
+    # --- leading ------------------------------------------------------------------------------
+
+    def _lead(self, now_ms: float) -> None:
+        self.role, self.leader = "leader", self.name
+        self._since = now_ms
+        self._peers = {}
+        self._tell(f"{self.name} leads in term {self.term}")
+        self._put(now_ms, Noop())
+        self._beats(now_ms)
+
+    def _step_down(self, why: str) -> None:
+        if self.role != "leader":
+            return
+        self.role, self.leader = "follower", ""
+        self._peers = {}
+        self._tell(f"{self.name} leads no more: {why}")
+        for waiting in self._waiting.values():
+            for client, proposal in waiting:
+                self._answer(client, self._elsewhere(proposal))
+        self._waiting = {}
+
+    def _lead_on(self, now_ms: float) -> None:
+        """Who is not answered by a majority can commit nothing, and another may lead: nobody should wait for
+        it."""
+        if now_ms >= self._lapse():
+            self._step_down("no majority answers")
+            self._rest(now_ms)
+        elif now_ms >= self._beat_at:
+            self._beats(now_ms)
+
+    def _lapse(self) -> float:
+        """When the own majority is given up, unless it answers."""
+
+        def heard(voter: Voter) -> float:
+            return max(self._since, self._answered(voter, math.inf))
+
+        return reached(self.log.voters, heard) + self.config.election_ms
+
+    def _answered(self, voter: Voter, now_ms: float) -> float:
+        """When the last beat was sent that a voter answered; the own vote is always there."""
+        if voter == self._me:
+            return now_ms
+        peer = self._peers.get(voter.name)
+        return peer.answered_ms if peer is not None and self._sound(voter, peer) else -math.inf
+
+    def _sound(self, voter: Voter, peer: Peer) -> bool:
+        """Whether what is known of a peer is of the disk that votes, in a life that is remembered."""
+        return voter.disk == peer.disk and self._lives.known(peer.disk, peer.life, self._out.durable)
+
+    def _put(self, now_ms: float, body: Body) -> int:
+        """Put an entry into the own log and send it; its index."""
+        index = self.log.last_index + 1
+        self.log.append(Entry(index, self.term, body))
+        self._out.write(index)
+        if isinstance(body, Noop | Voters):
+            names = {seat.name for seat in self.log.voters} - {self.name}
+            self._peers = {name: self._peers.get(name) or Peer(name, index) for name in sorted(names)}
+        for peer in self._peers.values():
+            self._feed(now_ms, peer)
+        return index
+
+    def _beats(self, now_ms: float) -> None:
+        """A beat to all. It has no entries, so that no disk delays the answer; it shows what was lost on its
+        way."""
+        self._beat_at = now_ms + self.config.beat_ms
+        for peer in self._peers.values():
+            self._send(now_ms, peer, max(peer.next - 1, self.log.base), ())
+            self._feed(now_ms, peer)
+
+    def _send(self, now_ms: float, peer: Peer, index: int, entries: tuple[Entry, ...]) -> None:
+        self._beat += 1
+        peer.ask(now_ms, self._beat)
+        before = self.log.term_at(index)
+        self._out.say(peer.name, Append(self.term, self._beat, index, before, entries, self.committed))
+
+    def _feed(self, now_ms: float, peer: Peer) -> None:
+        """Send what a member lacks, as far as the window goes."""
+        if peer.next <= self.log.base:
+            if now_ms >= peer.installed_ms + self.config.election_ms:
+                peer.installed_ms = now_ms
+                self._beat += 1
+                peer.ask(now_ms, self._beat)
+                compact = self.log.compact
+                assert compact is not None  # the base is a snapshot's
+                self._out.say(peer.name, Install(self.term, self._beat, compact))
+            return
+        while peer.next <= self.log.last_index and peer.next - 1 - peer.match < self.config.window:
+            entries = self.log.batch(peer.next)
+            self._send(now_ms, peer, peer.next - 1, entries)
+            peer.next += len(entries)
+
+    def _appended(self, now_ms: float, sender: str, told: Appended) -> None:
+        if told.term > self.term:
+            self._adopt(now_ms, told.term, "")
+        peer = self._peers.get(sender)
+        if self.role != "leader" or told.term != self.term or peer is None:
+            return
+        if told.life < self._lives.of(told.disk):
+            self._recall_to(sender, told.disk, 0)
+            return
+        if not self._same(now_ms, peer, told):
+            return
+        voter = Voter(sender, told.disk)
+        if told.disk and voter in self.log.voters and not self._counts(voter, told.life):
+            return
+        peer.answer(told.beat)
+        if told.ok:
+            peer.match = max(peer.match, min(told.match, self.log.last_index))
+            peer.next = max(peer.next, peer.match + 1)
+        elif told.beat <= peer.back:
+            return  # it was asked before the last one that was gone by: each would have all sent again
+        else:
+            peer.back = self._beat
+            if told.match < self._acknowledged.get(told.disk, 0):
+                self._recall_to(sender, told.disk, 0)  # it may have had more, in this life
+            if not told.disk:
+                peer.match = min(peer.match, told.match)  # without a disk it may have begun anew
+            peer.next = max(peer.match, min(told.match, peer.next - 1)) + 1
+        self._advance(now_ms)
+        if self.role == "leader":
+            self._note()
+            self._seat(now_ms, peer)
+            self._feed(now_ms, peer)
+
+    def _same(self, now_ms: float, peer: Peer, told: Appended) -> bool:
+        """Whether an answer is of the disk and life that answer under this name now, or of ones that take
+        their turn."""
+        if (told.disk, told.life) == (peer.disk, peer.life):
+            return True
+        if told.beat not in peer.asked or (told.disk == peer.disk and told.life < peer.life):
+            return False  # late
+        seat = seat_of(self.log.voters, peer.name)
+        answers = now_ms < peer.answered_ms + self.config.election_ms
+        if answers and seat is not None and seat.disk == peer.disk != told.disk:
+            return False  # two under one name: the one that votes stays as long as it answers
+        peer.turn(told.disk, told.life, self.log.last_index)
+        return True
+
+    def _advance(self, now_ms: float) -> None:
+        """Commit what a majority has on disk; what is of earlier terms only with an entry of the own one."""
+        index = reached(self.log.voters, self._matched)
+        if index <= self.committed or self.log.term_at(int(index)) != self.term:
+            return
+        self._commit(now_ms, int(index))
+        if self.log.voters_index <= self.committed and seat_of(self.log.voters, self.name) is None:
+            self._step_down("it has no seat any more")
+
+    def _note(self) -> None:
+        """Remember, for disks that are put back, what each voter's disk has had. Only what is committed: the
+        rest it may have dropped with good reason."""
+        noted = {}
+        for voter in voting(self.log.voters):
+            peer, before = self._peers.get(voter.name), self._acknowledged.get(voter.disk, 0)
+            sound = peer is not None and self._sound(voter, peer)
+            noted[voter.disk] = max(before, min(peer.match, self.committed) if peer and sound else 0)
+        self._acknowledged = noted
+
+    def _matched(self, voter: Voter) -> float:
+        if voter == self._me:
+            return self._out.durable_index
+        peer = self._peers.get(voter.name)
+        return peer.match if peer is not None and self._sound(voter, peer) else 0
+
+    # --- proposals and changes of voters ------------------------------------------------------
+
+    def _propose(self, now_ms: float, change: Change, proposal: str, base: int, client: int) -> None:
+        last = self.log.book
+        state, why = "refused", ""
+        book = apply(last, change, last.number + 1)
+        if not 0 < len(proposal) <= NAME_MOST:
+            why = f"an id has 1 to {NAME_MOST} characters"
+        elif base and base != last.number:
+            why = f"made on number {base}, and the last is {last.number}"
+        elif faults := check(book, last):
+            why = "; ".join(faults[:FAULTS_MOST])
+        elif last.number - self.applied.effective >= self.config.books_most:
+            state, why = "busy", f"{self.config.books_most} rulebooks wait to take effect"
+        elif self._full:
+            state, why = "busy", "too much waits to be committed"
+        if why:
+            self._answer(client, Proposed(proposal, state, effective=self.applied.effective, why=why))
+            return
+        self._wait_for(self._put(now_ms, Book(book, proposal)), client, proposal)
+
+    @property
+    def _full(self) -> bool:
+        return len(self._waiting) >= self.config.waiting_most or self._out.busy
+
+    def _wait_for(self, index: int, client: int, proposal: str) -> None:
+        waiting = self._waiting.setdefault(index, [])
+        if len(waiting) < self.config.waiting_most:
+            waiting.append((client, proposal))
+        else:
+            why = "too many ask for it"
+            self._answer(client, Proposed(proposal, "busy", effective=self.applied.effective, why=why))
+
+    def _done(self, entry: Entry) -> None:
+        """Answer those who waited for a committed entry."""
+        number = entry.body.book.number if isinstance(entry.body, Book) else 0
+        for client, proposal in self._waiting.pop(entry.index, ()):
+            self._answer(client, Proposed(proposal, "durable", number, self.applied.effective))
+
+    def _elsewhere(self, proposal: str) -> Proposed:
+        leader = "" if self.leader == self.name else self.leader
+        return Proposed(proposal, "elsewhere", effective=self.applied.effective, leader=leader)
+
+    def _change(self, now_ms: float, client: int, away: str, new: str) -> list[Action]:
+        self._begin(now_ms)
+        if self.role != "leader":
+            self._answer(client, self._elsewhere(""))
+            return self._end()
+        try:
+            after = changed(self.log.voters, away, new)
+        except ValueError as error:
+            why = str(error)
+        else:
+            why = self._unready() or self._unbacked(now_ms, after)
+        if why:
+            self._answer(client, Proposed("", "refused", effective=self.applied.effective, why=why))
+        else:
+            self._wait_for(self._put(now_ms, Voters(after)), client, "")
+        return self._end()
+
+    def _unready(self) -> str:
+        """Why the voters may not change now. A leader that has committed nothing of its term may not know of
+        a change that an earlier one made: two changes from one set need have no voter in common (Ongaro,
+        raft-dev 2015)."""
+        if not self.ready:
+            return "the leader has not committed an entry of its term"
+        if self.log.voters_index > self.committed:
+            return "another change of voters is under way"
+        return "too much waits to be committed" if self._full else ""
+
+    def _unbacked(self, now_ms: float, after: Seats, newcomer: str = "") -> str:
+        """Why a change would leave the cluster without a majority that answers; the newcomer's answer is not
+        enough, unless there is but one other."""
+        sole = len(voting(after)) <= 2
+
+        def answered(voter: Voter) -> float:
+            if voter.name == newcomer:
+                return now_ms if sole else -math.inf
+            return self._answered(voter, now_ms)
+
+        if reached(after, answered) + self.config.election_ms > now_ms:
+            return ""
+        return "too few of the voters after it answer"
+
+    def _seat(self, now_ms: float, peer: Peer) -> None:
+        """Take in a member that answers by a new disk, once that has all that was there when it came: first
+        its seat is made vacant, then filled, as `members.py` tells."""
+        seat = seat_of(self.log.voters, peer.name)
+        if seat is None or not peer.disk or peer.disk in {other.disk for other in self.log.voters}:
+            return
+        if now_ms >= peer.answered_ms + self.config.election_ms or self._unready():
+            return
+        if now_ms < self._since + self.config.election_ms:
+            return  # the disk that votes may not have come to answer yet
+        caught_up = peer.mark if seat.disk else max(peer.mark, self.log.voters_index)
+        if peer.match < caught_up or self.committed < caught_up:
+            return
+        after = with_disk(self.log.voters, peer.name, "" if seat.disk else peer.disk)
+        if self._unbacked(now_ms, after, "" if seat.disk else peer.name):
+            return
+        self._put(now_ms, Voters(after))
+        how = "has lost its disk: its seat is vacant" if seat.disk else f"votes by disk {peer.disk}"
+        self._tell(f"{peer.name} {how}")
+
+    # --- out ----------------------------------------------------------------------------------
+
+    def _keep(self, **changes: Any) -> None:
+        self.meta = replace(self.meta, **changes)
+        self._out.keep(self.meta)
+
+    def _answer(self, client: int, told: Proposed) -> None:
+        self._out.tell(Answer(client, told))
+
+    def _tell(self, text: str) -> None:
+        self._out.tell(Tell(text))
+
+    def _end(self) -> list[Action]:
+        self._shorten()
+        return self._out.end(self.log)
+
+
+def sane(message: Any) -> bool:
+    """Whether the numbers of a message can be anybody's, and its entries follow one another."""
+    numbers = [
+        getattr(message, key, 0) for key in ("term", "beat", "life", "last_index", "committed", "match")
+    ]
+    if not all(0 <= number <= NUMBER_MOST for number in numbers):
+        return False
+    if isinstance(message, Install):
+        return _sane_compact(message.compact, message.term)
+    if not isinstance(message, Append):
+        return True
+    index, term = message.previous_index, message.previous_term
+    if index < 0 or len(message.entries) > ENTRIES_MOST:
+        return False
+    for entry in message.entries:
+        if entry.index != index + 1 or not term <= entry.term <= message.term:
+            return False
+        index, term = entry.index, entry.term
+    return True
+
+
+def _sane_compact(compact: Compact, term: int) -> bool:
+    return 0 < compact.index <= NUMBER_MOST and 0 <= compact.term <= term
--- a/fordtrestle/state/journal.py
+++ b/fordtrestle/state/journal.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import re
 from collections import deque
@@ -76,9 +77,7 @@
         self._failed: OSError | None = None
         self._meta: Meta | None = None
         self._spoiled = False
-        self._snapshots: list[
-            tuple[str, int]
-        ] = []  # names and indexes of those that can be read, newest first
+        self._snapshots: list[tuple[str, int]] = []  # names and indexes of those to be read, newest first
 
     def read(self) -> Opened:
         """What the store holds; nothing is written. That it is on disk is known only after `open`.
@@ -87,8 +86,7 @@
         return self._read()[0]
 
     def open(self) -> Opened:
-        """The same, on disk by the time this returns; `write` may be called from then on. To be called
-        once."""
+        """The same, on disk by the time this returns; then `write` may be called. To be called once."""
         if self._open or self._failed is not None:
             raise OSError(errno.EBUSY, "the journal was opened before")
         try:
@@ -171,7 +169,9 @@
         except FormatError as error:
             raise FormatError(f"{name}: {error}") from error
         except SnapshotError:
-            version = _version(self._store.read(name, 2 * SNAPSHOT_BYTES_MOST))
+            version = None
+            with contextlib.suppress(OSError):  # it is too long, or was read once already
+                version = _version(self._store.read(name, records.HEADER.size + SNAPSHOT_BYTES_MOST))
             if version not in (None, records.FORMAT):
                 raise FormatError(f"{name}: format version {version}, not {records.FORMAT}") from None
             raise
@@ -182,12 +182,14 @@
         return msgspec.msgpack.encode(Start(self._meta, self._spoiled, tuple(again)))
 
     def _check(self, actions: Sequence[messages.Store]) -> None:
-        """`ValueError` for entries that leave a gap, or that a snapshot holds."""
+        """`ValueError` for entries that leave a gap, or that a snapshot holds, and for one that goes back."""
         base = self._snapshots[0][1] if self._snapshots else 0
         last = self._log.last
         for action in actions:
             if action.compact is not None:
-                base = max(base, action.compact.index)
+                if action.compact.index < base:
+                    raise ValueError(f"a snapshot of {action.compact.index} after one of {base}")
+                base = action.compact.index
                 last = base if action.cut else max(last, base)
             for number, entry in enumerate(action.entries):
                 first = action.entries[0].index
--- a/tests/state/test_journal.py
+++ b/tests/state/test_journal.py
@@ -289,6 +289,12 @@
     return next((name, 8 * data.find(text)) for name, data in disk.files().items() if text in data)
 
 
+def header_of(disk, text):
+    """Where the header of the record begins that a text stands in."""
+    name, bit = bit_of(disk, text)
+    return name, 8 * disk.files()[name].rfind(b"FTJ", 0, bit // 8)
+
+
 def test_a_confirmed_entry_that_rotted_is_named_and_stays_so_until_it_is_written_again():
     disk, _ = played([[store(meta(), [one])] for one in entries(1, 5)], 2**20)
     bad = rotted(disk, *bit_of(disk, b"3/1"))
@@ -306,8 +312,7 @@
     disk, _ = played(
         [[store(meta(), entries(1, 3))], [store(None, entries(2, 3, 2))], [store(meta(2))]], 2**20
     )
-    name, bit = bit_of(disk, b"2/2")
-    _, opened = opened_at(rotted(disk, name, bit - 8 * 40))
+    _, opened = opened_at(rotted(disk, *header_of(disk, b"2/2")))
     assert opened.damaged == ((2, 2),) and opened.entries == (entry(1), entry(3, 2))
 
 
@@ -324,11 +329,10 @@
     assert opened_at(bad)[1].whole
 
 
-@pytest.mark.parametrize("back", [0, 8 * 40])
-def test_a_vote_that_rotted_is_not_forgotten_silently(back):
+@pytest.mark.parametrize("place", [bit_of, header_of])
+def test_a_vote_that_rotted_is_not_forgotten_silently(place):
     disk, _ = played([[store(meta())], [store(meta(2, vote="them"))], [store(None, entries(1, 1))]], 2**20)
-    name, bit = bit_of(disk, b"them")
-    _, opened = opened_at(rotted(disk, name, bit - back))
+    _, opened = opened_at(rotted(disk, *place(disk, b"them")))
     assert opened.meta == meta() and not opened.whole
 
 
@@ -350,8 +354,7 @@
 
 def test_a_doubt_is_over_with_another_disk_also_in_later_files():
     disk, _ = played([[store(meta(), entries(1, 2))]], 2**20)
-    name, data = next(iter(disk.files().items()))
-    bad = rotted(disk, name, 8 * data.rfind(b"FTJ"))
+    bad = rotted(disk, *header_of(disk, b"2/1"))
     journal, opened = opened_at(bad)
     assert opened.doubtful_from == 1
     journal.write([store(meta(disk="new"), entries(1, 2, 2, 600))])
@@ -564,6 +567,8 @@
     for bad in ([entry(14, 6)], [entry(10, 6)], [entry(13, 6), entry(15, 6)]):
         with pytest.raises(ValueError):
             journal.write([store(meta(9), bad)])
+    with pytest.raises(ValueError):
+        journal.write([store(meta(9), [], compact(9))])
     assert len(disk.calls) == calls
     journal.write([store(None, entries(11, 13, 6))])
 
