Let a leader whose seat is taken lead only until that change is committed

Seen: a leader that is replaced could stand again on the strength of `applied.voters` after the change was committed, and one that restarted with its own removal in the log alone gave up standing, so that nobody could commit it (order.py `_stands`, the step-down in `_advance`). Now the log keeps the voters before the last open change, and only an open change lets a member without a seat stand (Ongaro 2014, 4.2.2).

--- a/fordtrestle/cluster/log.py
+++ b/fordtrestle/cluster/log.py
@@ -48,6 +48,7 @@
         self.base = 0 if told is None else told.index
         self.base_term = 0 if told is None else told.term
         self.voters: tuple[Voter, ...] = () if told is None else told.voters
+        self.voters_before: tuple[Voter, ...] = ()  # until the last entry that names them, if it is here
         self.voters_index = self.base
         self.book = EMPTY if told is None or not told.books else told.books[-1]
         self.effective = 0 if told is None else told.effective
@@ -96,7 +97,7 @@
         elif isinstance(body, Effective):
             self.effective = body.number
         elif isinstance(body, Voters):
-            self.voters, self.voters_index = body.voters, entry.index
+            self.voters_before, self.voters, self.voters_index = self.voters, body.voters, entry.index
 
     def cut(self, index: int) -> None:
         """Drop the entry at `index` and all after it, with what they put in force."""
--- a/fordtrestle/cluster/order.py
+++ b/fordtrestle/cluster/order.py
@@ -381,8 +381,10 @@
 
     @property
     def _stands(self) -> bool:
-        """Whether it may lead: also to commit the change that takes its own seat, which only it may have."""
-        return self._sure and (self._me in self.log.voters or self._me in self.applied.voters)
+        """Whether it may lead: also to commit a change that takes its own seat, which none but it may have
+        (Ongaro 2014, 4.2.2)."""
+        open_change = self.log.voters_index > self.committed and self._me in self.log.voters_before
+        return self._sure and (self._me in self.log.voters or open_change)
 
     def _rest(self, now_ms: float) -> None:
         """Stand for leader no sooner than after another election time, drawn so that two seldom stand at
@@ -748,8 +750,9 @@
         if index <= self.committed or self.log.term_at(int(index)) != self.term:
             return
         self._commit(now_ms, int(index))
-        if self.log.voters_index <= self.committed and seat_of(self.log.voters, self.name) is None:
-            self._step_down("it has no seat any more")
+        if self.log.voters_index <= self.committed and self._me not in self.log.voters:
+            self._step_down("it has no vote any more")
+            self._rest(now_ms)
 
     def _note(self) -> None:
         """Remember, for disks that are put back, what each voter's disk has had. Only what is committed: the
--- /dev/null
+++ b/tests/cluster/test_members.py
@@ -0,0 +1,229 @@
+"""Who votes: majorities, seats that are made vacant and filled, lives, and what a started disk waits for."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from fordtrestle.cluster.log import State
+from fordtrestle.cluster.members import (
+    LIVES_MOST,
+    SEATS_MOST,
+    Lives,
+    Recall,
+    changed,
+    init_state,
+    reached,
+    recover_state,
+    with_disk,
+)
+from fordtrestle.cluster.messages import Append, Appended, Remembered, Voter, Voters
+from tests.cluster.test_order import cut, elect, grown, led
+from tests.cluster.world import CONFIG, Disk, World
+
+SEATS = tuple(Voter(name, f"disk-{name}") for name in "abcde")
+VACANT = Voter("f", "")
+
+
+def test_a_majority_is_of_those_that_vote():
+    values = {"a": 5, "b": 9, "c": 7, "d": 1, "e": 3}
+    assert [reached(SEATS[:n], lambda v: values[v.name]) for n in (1, 2, 3, 4, 5)] == [5, 5, 7, 5, 5]
+    assert reached((*SEATS[:3], VACANT), lambda v: values.get(v.name, 10)) == 7
+    assert reached((VACANT,), lambda v: 1.0) == -math.inf
+
+
+def test_changes_that_can_not_be_say_why():
+    assert changed(SEATS[:3], "c", "f") == (*SEATS[:2], VACANT)
+    for seats, away, new, why in (
+        (SEATS, "x", "", "x has no seat"),
+        (SEATS, "", "b", "b has a seat"),
+        (SEATS[:1], "a", "f", "nobody would vote"),
+        (SEATS, "", "n" * 65, "a name has 64 characters at the most"),
+        (
+            (*SEATS, *[Voter(str(n), "") for n in range(SEATS_MOST - 5)]),
+            "",
+            "f",
+            f"there may be {SEATS_MOST} seats",
+        ),
+    ):
+        with pytest.raises(ValueError, match=why):
+            changed(seats, away, new)
+
+
+def told(by, term=1, last=(1, 1)):
+    return Remembered("disk-a", 0, 0, 7, by, term, last[1], last[0])
+
+
+@pytest.mark.parametrize(
+    ("voters", "enough", "alone"), [(1, 0, 0), (2, 1, 1), (3, 2, 1), (4, 2, 2), (5, 3, 2)]
+)
+def test_a_started_disk_waits_for_one_in_common_with_every_majority_it_was_in(voters, enough, alone):
+    seats, recall = SEATS[:voters], Recall(7)
+    for count in range(voters):
+        assert recall.enough(seats, SEATS[0], alone=False) == (count >= enough)
+        assert recall.enough(seats, SEATS[0], alone=True) == (count >= alone)
+        if count + 1 < voters:
+            recall.told[SEATS[count + 1].name] = told(SEATS[count + 1].disk)
+
+
+def test_only_voters_by_their_disks_are_enough_and_set_the_floor():
+    recall = Recall(7)
+    recall.told = {"b": told("other", term=9, last=(9, 9)), "c": told("disk-c", term=2, last=(2, 4))}
+    assert not recall.enough(SEATS[:3], SEATS[0], alone=False)
+    assert recall.enough(SEATS[:3], SEATS[0], alone=True)
+    assert (recall.term(), recall.floor(SEATS[:3])) == (9, (2, 4))
+    assert not Recall(7).enough((), SEATS[0], alone=True)
+
+
+def test_lives_are_known_once_durable_and_bounded():
+    lives = Lives([("x", 3)])
+    assert lives.known("x", 3, 0) and not lives.known("x", 2, 0)
+    lives.note("x", 4, token=5, seats=())
+    assert not lives.known("x", 4, 4) and lives.known("x", 4, 5)
+    for number in range(2 * LIVES_MOST):
+        kept = lives.note(f"d{number}", 1, token=6, seats=(Voter("x", "x"),))
+    assert len(kept) <= LIVES_MOST and lives.of("x") == 4
+
+
+def test_a_life_is_durable_before_anything_of_it_is_counted():
+    world = led()
+    world.restart("c")
+    cut(world, "a", "b")
+    world.nodes["a"].disk_ms = 1e6  # it stores nothing more
+    committed = world.order("a").committed
+    world.propose("a", "p")
+    world.run(CONFIG.election_ms / 2)
+    assert world.order("c").log.last_index > committed == world.order("a").committed
+    assert not [seat for seat in world.order("a").seats(0.0) if seat.name == "c" and seat.counts]
+
+
+# --- seats ------------------------------------------------------------------------------------
+
+
+def changes(world):
+    """The voters' disks of each change that was committed."""
+    entries = [entry for _, entry in sorted(world._chain.items())]
+    return [[v.disk for v in e.body.voters] for e in entries if isinstance(e.body, Voters)]
+
+
+@pytest.mark.parametrize("names", ["abc", "abcde"])
+def test_a_lost_disk_is_replaced_by_a_vacant_seat_first(names):
+    world = led(names=names)
+    grown(world, "a", 20)
+    world.crash("c")
+    world.nodes["c"].disk = Disk(State())
+    world.start("c")
+    assert world.until(lambda: world.order("c").votes, 2000)
+    world.run(100)
+    new = world.order("c").meta.disk
+    assert [seats[2] for seats in changes(world)][-2:] == ["", new]
+    assert world.order("c").applied.pending == 20
+    world.crash("b")
+    grown(world, "a", 2, first=21)
+
+
+def test_a_newcomer_has_no_vote_before_it_has_what_is_committed():
+    world = led()
+    grown(world, "a", 20)
+    world.crash("c")
+    world.nodes["c"].disk = Disk(State())
+    world.drop = lambda src, send: send.to == "c" and not isinstance(send.message, Append)
+    world.start("c")
+    world.run(2000)
+    assert changes(world) == [["disk-a", "disk-b", "disk-c"]]
+    world.drop = lambda src, send: False
+    assert world.until(lambda: world.order("c").votes, 2000)
+
+
+def test_no_disk_is_taken_in_where_the_commit_would_wait_for_it():
+    world = led()
+    world.crash("c")
+    world.nodes["c"].disk = Disk(State())
+    world.drop = lambda src, send: (src, send.to) == ("b", "a") and isinstance(send.message, Appended)
+    world.start("c")
+    world.run(100)
+    assert len(changes(world)) == 1 and len(world.order("a").voters) == 3
+    order = world.order("a")
+    now = world.nodes["a"].clock(world.now) + CONFIG.election_ms
+    after = with_disk(order.voters, "c", "new")
+    assert order._unbacked(now, after, "c") == "too few of the voters after it answer"
+
+
+def test_of_two_under_one_name_the_one_that_votes_stays():
+    world = led()
+    order, node = world.order("a"), world.nodes["a"]
+    for _ in range(100):
+        world.run(10)
+        beat = max(order._peers["c"].asked, default=0)
+        answer = Appended(2, beat, True, order.log.last_index, "other", 1)
+        world.do("a", lambda order, now, answer=answer: order.receive(now, "c", answer))
+    assert order.voters[2].disk == "disk-c" and order._peers["c"].disk == "disk-c"
+    assert order.authority_until(node.clock(world.now)) > node.clock(world.now)
+
+
+def test_a_new_leader_waits_for_the_disk_that_votes_before_it_takes_another():
+    world = World(1, "abc").start()
+    elect(world, "a")
+    world.drop = lambda src, send: (src, send.to) == ("c", "a")
+    assert world.until(lambda: world.order("a").ready, 200)
+    peer = world.order("a")._peers["c"]
+    for _ in range(2):
+        assert world.until(lambda: bool(peer.asked), 50)
+        beat, last = max(peer.asked), world.order("a").log.last_index
+        answer = Appended(world.order("a").term, beat, True, last, "other", 1)
+        world.do("a", lambda order, now, answer=answer: order.receive(now, "c", answer))
+    assert world.order("a").voters[2].disk == "disk-c"
+
+
+def test_one_that_started_twice_with_nothing_is_taken_in():
+    world = led()
+    grown(world, "a", 3)
+    world.crash("c")
+    world.nodes["c"].disk = Disk(State())
+    world.drop = lambda src, send: send.to == "c"
+    world.start("c")
+    world.run(20)
+    world.restart("c")
+    world.run(CONFIG.election_ms)
+    world.drop = lambda src, send: False
+    assert world.until(lambda: world.order("c").votes, 2000)
+
+
+def test_one_voter_grows_to_three_by_vacant_seats():
+    world = World(1, "abc", empty="bc").start()
+    assert world.lead() == "a"
+    assert world.until(lambda: all(world.order(name).votes for name in "abc"), 3000)
+    grown(world, world.leader(), 2)
+
+
+def test_a_voter_is_replaced_under_another_name():
+    world = World(1, "abcd")
+    state = init_state({name: f"disk-{name}" for name in "abc"}, "a")
+    for name in "abc":
+        world.nodes[name].disk = Disk(init_state({n: f"disk-{n}" for n in "abc"}, name))
+    world.nodes["d"].disk = Disk(State())
+    world.start()
+    elect(world, "a")
+    assert world.until(lambda: world.order("a").ready, 200)
+    world.crash("c")
+    world.run(CONFIG.election_ms + 10)
+    world.do("a", lambda order, now: order.replace_voter(now, "c", "d", client=1))
+    assert world.until(lambda: world.order("d").votes, 2000)
+    assert [seat.name for seat in world.order("a").voters] == ["a", "b", "d"]
+    world.crash("b")
+    world.propose("a", "p", client=2)
+    assert world.until(lambda: bool(world.answers[2]), 500)
+    assert state.meta.disk == "disk-a"
+
+
+def test_what_is_recovered_is_ahead_of_the_lost_and_names_none_of_their_disks():
+    world = led()
+    grown(world, "a", 3)
+    state = world.nodes["b"].disk.state()
+    recovered = recover_state(state, "b", "new", "abc")
+    compact = recovered.compact
+    assert compact is not None and compact.voters == (Voter("b", "new"), Voter("a", ""), Voter("c", ""))
+    assert compact.index == world.order("b").log.last_index + 1
+    assert compact.books[-1].number == 3 and dict(compact.proposals)["p3"] == 3
+    assert recovered.meta.term == compact.term > 1000 and not recovered.entries
