Begin no attempt for a client whose end is in the kernel, read or not

Seen: an attempt, first or further, was written for a client that had left already. An end that comes with a request, or while a timer is due, is told a turn later (ClientConnection.eof_received, connection_lost); while nothing is read (pause_writing, _take_more) it is not told at all, so what waited behind an open request was taken and sent on for nobody. A connection to a server that came up after the client had left, or after the final answer, was written to where the settings forbid to cancel (Pool._connect asked for nothing but `exchange.ended`).

Ruled out: reading begun anew by the transport that takes over from the stand-in (asyncio 3.11.7 heeds the pause; a test holds it).

--- a/fordtrestle/engine/driver.py
+++ b/fordtrestle/engine/driver.py
@@ -283,7 +283,11 @@
         attempt.expires = expires
         attempt.timeout = self._loop.call_at(self._clock.at(expires), self._expire, attempt)
         attempt.exchange = self._upstreams.send(
-            action.server, request.call.wire, expires, lambda result: self._outcome(attempt, result)
+            action.server,
+            # Guards against an attempt that waits for its connection while its request is answered.
+            lambda left: None if request.ended else request.call.wire(left),
+            expires,
+            lambda result: self._outcome(attempt, result),
         )
 
     def _refuse(self, request: OpenRequest, retry_after: float) -> None:
--- a/fordtrestle/engine/ports.py
+++ b/fordtrestle/engine/ports.py
@@ -86,8 +86,8 @@
     mutates: bool
     budget: float
 
-    def wire(self, left: float) -> bytes:
-        """The request for a server that has `left` milliseconds."""
+    def wire(self, left: float) -> bytes | None:
+        """The request for a server that has `left` milliseconds; None where its client has left."""
 
     def served(self, answer: Answer) -> None:
         """The final answer: a server's."""
@@ -113,9 +113,16 @@
     """The servers, seen as somewhere to send."""
 
     def send(
-        self, server: str, message: Callable[[float], bytes], expires: float, done: Callable[[Result], None]
+        self,
+        server: str,
+        message: Callable[[float], bytes | None],
+        expires: float,
+        done: Callable[[Result], None],
     ) -> AttemptHandle:
-        """Begin an attempt; `done` is called once, later, unless it is abandoned first."""
+        """Begin an attempt; `done` is called once, later, unless it is abandoned first.
+
+        `message` is asked as the attempt begins and once more where it had to wait for a connection; it is
+        given the milliseconds left, and where it says None nothing is written: the attempt is moot."""
 
     def probe(self, server: str, done: Callable[[Result], None]) -> AttemptHandle:
         """Begin a probe, likewise."""
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -101,8 +101,10 @@
         """Bytes of its body."""
         return len(self._body)
 
-    def wire(self, left: float) -> bytes:
-        """The request for a server that has `left` milliseconds."""
+    def wire(self, left: float) -> bytes | None:
+        """The request for a server that has `left` milliseconds; None where its client has left."""
+        if self.connection.has_left():
+            return None
         return b"%bX-Budget: %du\r\n\r\n%b" % (self._head, max(0.0, left) * 1000.0, self._body)
 
     def served(self, answer: Answer) -> None:
@@ -138,6 +140,7 @@
     draining: bool
     table: ConnectionTable[Guest]
     lag: LagMeter
+    unread: dict[ClientConnection, None]  # of whom nothing is read at present
 
     def rests(self, seat: Seat[Guest]) -> None:
         """All that a connection asked is answered."""
@@ -249,6 +252,16 @@
         self._deaf = True
         self._transport.abort()
 
+    def has_left(self) -> bool:
+        """Whether its client has closed or reset it, of which the loop may be yet to tell; then it is let go,
+        which the loop tells later, never from in here."""
+        if self._lost:
+            return True
+        if not stream.gone(self._transport):
+            return False
+        self.abort()
+        return True
+
     def first_is_overdue(self) -> None:
         """It has not sent a whole request for longer than any healthy client takes."""
         if self._message is not None:
@@ -301,7 +314,7 @@
     def pause_writing(self) -> None:
         """The client does not read its answers: nothing more is read or taken from it until it does."""
         self._stuck = True
-        self._transport.pause_reading()
+        self._read_on(False)
         self._front.stuck(self)
 
     def resume_writing(self) -> None:
@@ -416,7 +429,7 @@
 
     def _take_more(self) -> None:
         """Take what was read, as far as the client reads its answers and has few calls open."""
-        while self._untaken and not self._stuck and not self._lost:
+        while self._untaken and not self._stuck and not self.has_left():
             if len(self._waiting) - len(self._untaken) >= IN_CALL_MOST:
                 break
             if any(call.answer is not None for call in self._waiting):
@@ -425,12 +438,17 @@
             if call.answer is None:
                 self._front.serve(call, read_at)
             self.flush()
-        if self._lost or self._deaf:
-            return
-        if self._untaken or self._stuck:
-            self._transport.pause_reading()
-        else:
+        if not self._lost and not self._deaf:
+            self._read_on(not (self._untaken or self._stuck))
+
+    def _read_on(self, on: bool) -> None:
+        """Read from its client, or not; while nothing is read the loop does not tell of its end, either."""
+        if on:
             self._transport.resume_reading()
+            self._front.unread.pop(self, None)
+        else:
+            self._transport.pause_reading()
+            self._front.unread[self] = None
 
     def answered(self) -> None:
         """A call has its answer: write what can be, and take what waited for that."""
@@ -532,7 +550,7 @@
             self._transport.close()
             return
         stream.end(self._transport)
-        self._transport.resume_reading()
+        self._read_on(True)
         self._clock = self._front.loop.call_later(LINGER_S, self.abort)
 
     def _bound_unfinished(self, data: bytes) -> None:
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -76,6 +76,7 @@
         self._seated: dict[Guest, Part] = {}  # whose descriptor is in which book
         # Whose client does not read, the longest first.
         self._stuck: dict[ClientConnection, Stuck] = {}
+        self.unread: dict[ClientConnection, None] = {}  # of whom nothing is read at present
         self._halves: dict[ClientConnection, None] = {}  # half of a request is held of them, the oldest first
         self._starting: set[asyncio.Task[None]] = set()
         self._sweeping: asyncio.TimerHandle | None = None
@@ -235,10 +236,12 @@
                 acceptor.resume()
         if isinstance(guest, ClientConnection):
             self._stuck.pop(guest, None)
+            self.unread.pop(guest, None)
             self._halves.pop(guest, None)
 
     def _sweep(self) -> None:
-        """Guards against connections that never ask, or not to the end, that rest for good or never read."""
+        """Guards against connections that never ask, or not to the end, that rest for good or never read, and
+        against those that are not read from, of whose end the loop does not tell."""
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep) if len(self.table) else None
         now = self.clock.now()
         for seat in self.table.overdue(now):
@@ -246,6 +249,8 @@
         for seat in self.table.rested(now):
             if seat.holder.idle:
                 self._dismiss(seat)
+        for connection in list(self.unread):
+            connection.has_left()
         for connection, stuck in list(self._stuck.items()):
             taken = connection.taken
             if taken > stuck.taken:
--- a/fordtrestle/http/pool.py
+++ b/fordtrestle/http/pool.py
@@ -81,9 +81,10 @@
     # --- what the driver asks for --------------------------------------------
 
     def send(
-        self, server: str, message: Callable[[float], bytes], expires: float, done: Done
+        self, server: str, message: Callable[[float], bytes | None], expires: float, done: Done
     ) -> UpstreamExchange:
-        """Begin an attempt on an idle connection, the newest first, or on a new one."""
+        """Begin an attempt on an idle connection, the newest first, or on a new one; where `message` says
+        None nothing is written, and it is moot."""
         return self._begin(server, UpstreamExchange(message, expires, done, probe=False))
 
     def probe(self, server: str, done: Done) -> UpstreamExchange:
@@ -226,6 +227,10 @@
             self._loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return exchange
         now = self._clock.now()
+        message = exchange.message(exchange.expires - now)
+        if message is None:  # its client has left
+            self._loop.call_soon(exchange.end, Result(Outcome.MOOT))
+            return exchange
         settling: list[UpstreamConnection] = []
         while server.idle:
             connection = server.idle.pop()
@@ -238,7 +243,7 @@
             if idle < self._idle_most and connection.fresh():
                 if settling:
                     self._still_idle(server, settling)
-                self._write(connection, exchange)
+                self._write(connection, exchange, message)
                 return exchange
             connection.abort()
         self._still_idle(server, settling)
@@ -254,14 +259,14 @@
             server.idle.append(connection)
             self._idle[connection] = None
 
-    def _write(self, connection: UpstreamConnection, exchange: UpstreamExchange) -> None:
+    def _write(self, connection: UpstreamConnection, exchange: UpstreamExchange, message: bytes) -> None:
         """The first byte of an attempt: not to a server that has left for longer than the grace."""
         now = self._clock.now()
         if now >= connection.server.closed_from:
             connection.abort()
             self._loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return
-        connection.begin(exchange, exchange.message(exchange.expires - now))
+        connection.begin(exchange, message)
 
     def _open(self, server: UpstreamServer, exchange: UpstreamExchange) -> None:
         if not self._room():
@@ -310,8 +315,15 @@
             # A full server may take a connection and close it at once: nothing is written there.
             connection.abort()
             exchange.end(Result(Outcome.CONNECT_FAILED))
+            return
+        message = exchange.message(exchange.expires - self._clock.now())
+        if (
+            message is None
+        ):  # its client has left meanwhile, or has its answer: the next may use the connection
+            self.free(connection)
+            self._loop.call_soon(exchange.end, Result(Outcome.MOOT))
         else:
-            self._write(connection, exchange)
+            self._write(connection, exchange, message)
 
     def _room(self) -> bool:
         """Take a descriptor, if need be that of the connection idle for longest; whether there is one."""
--- a/fordtrestle/http/stream.py
+++ b/fordtrestle/http/stream.py
@@ -11,6 +11,7 @@
 import termios
 
 READ_MOST = 64 * 1024
+HUNG_UP = select.POLLRDHUP
 SHARED = memoryview(bytearray(READ_MOST))  # what any connection reads into
 
 
@@ -24,7 +25,22 @@
     return bool(poll.poll(0))
 
 
-def unread(transport: asyncio.BaseTransport) -> int:
+def gone(transport: asyncio.BaseTransport | EarlyTransport) -> bool:
+    """Whether the other end has closed or reset a connection, of which the loop may be yet to tell: it sees
+    nothing while reading is paused, and bytes before an end come a turn before it (poll(2))."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN | HUNG_UP)
+    found = poll.poll(0)
+    if not found:
+        return False
+    # Guards against a kernel that tells an end as nothing but something to read.
+    return found[0][1] != select.POLLIN or not unread(transport)
+
+
+def unread(transport: asyncio.BaseTransport | EarlyTransport) -> int:
     """Bytes that have come and are not read; 0 where all that is unread is an end or an error."""
     return _count(transport, termios.FIONREAD)
 
--- a/fordtrestle/http/upstream.py
+++ b/fordtrestle/http/upstream.py
@@ -49,7 +49,9 @@
 
     __slots__ = ("_connection", "_done", "_opening", "ended", "expires", "message", "probe")
 
-    def __init__(self, message: Callable[[float], bytes], expires: float, done: Done, probe: bool) -> None:
+    def __init__(
+        self, message: Callable[[float], bytes | None], expires: float, done: Done, probe: bool
+    ) -> None:
         self.message = message
         self.expires = expires
         self.probe = probe
--- /dev/null
+++ b/tests/http/test_client_gone.py
@@ -0,0 +1,333 @@
+"""A client that leaves in the moment in which something of its request is begun: nothing is sent for it."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import struct
+
+import pytest
+
+from fordtrestle.http import downstream, front, stream
+from fordtrestle.http import pool as pools
+from poppypulley.model import Outcome, Refuse, Send, Timer
+from tests.http.test_holding import LARGE, bare
+from tests.http.test_upstream import FULL
+from tests.loopback import OK, PATIENCE_S, App, Scripted, Upstream, hang, loopback, request, running, until
+
+AT_REST = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@pytest.fixture
+def no_settling(monkeypatch):
+    """A connection may be used again at once."""
+    monkeypatch.setattr(pools, "SETTLE_MS", 0.0)
+
+
+@pytest.fixture
+def no_sweep(monkeypatch):
+    """Nothing is noticed by looking again now and then."""
+    monkeypatch.setattr(front, "SWEEP_S", 3600.0)
+
+
+def close(sock):
+    sock.close()
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def shut(sock):
+    sock.shutdown(socket.SHUT_WR)
+
+
+def seats(sidecar):
+    return [seat.holder for seat in sidecar.front.table]
+
+
+def leave(sidecar, sock, how):
+    """A client leaves in this turn of the loop: its end is in the kernel, and the loop can't have seen it."""
+    (connection,) = seats(sidecar)
+    source = connection._transport.get_extra_info("socket")
+    poll = select.poll()
+    poll.register(source.fileno(), select.POLLRDHUP)
+    how(sock)
+    assert poll.poll(PATIENCE_S * 1000.0)
+
+
+async def rested(sidecar):
+    """A client whose connection has its transport, and is at rest."""
+    sock = await bare(sidecar.address, 2**16)
+    await asyncio.get_running_loop().sock_sendall(sock, AT_REST)
+    assert b" 200 " in await asyncio.get_running_loop().sock_recv(sock, 1000)
+    await until(lambda: isinstance(seats(sidecar)[0]._transport, asyncio.Transport))
+    return sock
+
+
+async def nothing_is_held(sidecar):
+    await until(lambda: not seats(sidecar) and not sidecar.driver._requests)
+    assert sidecar.limits.calls.held == 0 and not sidecar.front.unread
+
+
+@pytest.mark.parametrize("how", [close, reset, shut])
+@loopback
+async def test_a_timer_in_the_turn_in_which_the_client_leaves_begins_no_attempt(how):
+    upstream = await Upstream().start()
+    module = Scripted(request=lambda now, arrival: [Timer(0.0, str(arrival.request))])
+    async with running(upstream, balancer=module) as sidecar:
+        sock = await rested(sidecar)
+
+        def due(now, token):
+            leave(sidecar, sock, how)
+            return [Send(int(token), "s0", 0.0)]
+
+        module.scripts["timer"] = due
+        await asyncio.get_running_loop().sock_sendall(sock, request())
+        await until(lambda: module.outcomes())
+        assert module.outcomes() == [(0, Outcome.MOOT, True)]  # `client_gone` was told before
+        assert len(module.named("client_gone")) == 1
+        assert upstream.writers == []  # no connection is made for it, either
+        await nothing_is_held(sidecar)
+        sock.close()
+
+
+@pytest.mark.usefixtures("no_settling")
+@pytest.mark.parametrize("how", [close, reset])
+@loopback
+async def test_no_further_attempt_begins_in_the_turn_in_which_the_client_leaves(how):
+    upstream = await Upstream([FULL, OK]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        sock = await rested(sidecar)
+
+        def again(now, number, hop, *rest):
+            if hop:
+                return []
+            leave(sidecar, sock, how)
+            return [Send(number, "s0", 0.0)]
+
+        module.scripts["outcome"] = again
+        await asyncio.get_running_loop().sock_sendall(sock, request())
+        await until(lambda: len(module.outcomes()) == 2)
+        assert module.outcomes()[1] == (1, Outcome.MOOT, True)
+        assert len(upstream.seen) == 1
+        assert len(sidecar.pool._idle) == 1  # nothing was written on what it left
+        await nothing_is_held(sidecar)
+
+
+@pytest.mark.parametrize("how", [close, reset])
+@pytest.mark.parametrize("first", [True, False])
+@loopback
+async def test_a_request_whose_clients_end_has_come_with_it_is_not_sent(first, how):
+    """Read in one turn, told of in the next, whether or not the connection has its transport by then."""
+    upstream = await Upstream().start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        if first:
+            sock = await bare(sidecar.address, 2**16)
+            await until(lambda: seats(sidecar))
+            fd = seats(sidecar)[0].sock.fileno()
+        else:
+            sock = await rested(sidecar)
+            fd = seats(sidecar)[0]._transport.get_extra_info("socket").fileno()
+        # No await from here to the end: the loop reads the request with the end behind it.
+        poll = select.poll()
+        poll.register(fd, select.POLLRDHUP)
+        if how is reset:
+            arrive = module.scripts["request"]
+
+            def reset_then_send(now, arrival):
+                leave(sidecar, sock, reset)  # one that comes before the read takes the request with it
+                return arrive(now, arrival)
+
+            module.scripts["request"] = reset_then_send
+            sock.send(request())
+        else:
+            sock.send(request())
+            sock.close()
+            assert poll.poll(PATIENCE_S * 1000.0)
+        await until(lambda: module.named("client_gone") and module.outcomes())
+        assert [status for _, status, _ in module.outcomes()] == [Outcome.MOOT]
+        assert upstream.writers == []
+        await nothing_is_held(sidecar)
+
+
+@pytest.mark.usefixtures("no_sweep")
+@pytest.mark.parametrize("how", [close, reset, shut])
+@loopback
+async def test_what_waits_behind_an_open_request_is_not_taken_once_the_client_has_left(how, monkeypatch):
+    """Nothing is read meanwhile, so the loop does not tell of the end."""
+    monkeypatch.setattr(downstream, "IN_CALL_MOST", 1)
+    module = Scripted()
+    upstream = await Upstream().start()
+    async with running(upstream, balancer=module) as sidecar:
+        sock = await rested(sidecar)
+
+        async def leaves_then_ok(reader, writer):
+            leave(sidecar, sock, how)
+            return OK
+
+        upstream.replies = [leaves_then_ok]
+        await asyncio.get_running_loop().sock_sendall(sock, request() + request())
+        await nothing_is_held(sidecar)
+        assert len(upstream.seen) == 1
+        assert len(module.named("request")) == 1
+        sock.close()
+
+
+@pytest.mark.parametrize("how", [close, reset, shut])
+@loopback
+async def test_a_client_that_leaves_while_nothing_is_read_is_noticed_soon(how, monkeypatch):
+    monkeypatch.setattr(downstream, "IN_CALL_MOST", 2)
+    module = Scripted()
+    upstream = await Upstream([hang]).start()
+    async with running(upstream, balancer=module) as sidecar:
+        sock = await rested(sidecar)
+        await asyncio.get_running_loop().sock_sendall(sock, b"".join(request() for _ in range(3)))
+        await until(lambda: len(upstream.seen) == 2 and seats(sidecar)[0]._untaken)
+        how(sock)
+        await until(lambda: not seats(sidecar))
+        assert len(module.named("client_gone")) == 2
+        assert len(upstream.seen) == 2
+        assert not sidecar.front.unread
+        sock.close()
+
+
+@loopback
+async def test_a_client_that_reads_nothing_and_ends_its_sending_is_noticed_soon(monkeypatch):
+    monkeypatch.setattr(front, "STALLED_MS", 3_600_000.0)
+    monkeypatch.setattr(front, "STUCK_MOST_MS", 3_600_000.0)
+    upstream = await Upstream([LARGE]).start()
+    async with running(upstream) as sidecar:
+        sock = await bare(sidecar.address)
+        await asyncio.get_running_loop().sock_sendall(sock, b"".join(request() for _ in range(16)))
+        await until(lambda: sidecar.front._stuck)
+        seen = len(upstream.seen)
+        sock.shutdown(socket.SHUT_WR)
+        await until(lambda: not seats(sidecar))
+        assert len(upstream.seen) - seen < 16 and sidecar.limits.calls.held == 0
+        assert not sidecar.front.unread
+        sock.close()
+
+
+@loopback
+async def test_what_was_paused_before_its_transport_stood_stays_paused():
+    upstream = await Upstream([hang]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        sock = await bare(sidecar.address, 2**16)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, b"".join(request() for _ in range(5)))
+        await until(lambda: seats(sidecar) and isinstance(seats(sidecar)[0], downstream.ClientConnection))
+        (connection,) = seats(sidecar)
+        await until(lambda: isinstance(connection._transport, asyncio.Transport) and len(upstream.seen) == 4)
+        assert len(connection._waiting) == 5 and len(connection._untaken) == 1
+        late = request()
+        await loop.sock_sendall(sock, late)
+        # What is read is read by the turn in which another connection, made after it, is.
+        await (await App.connect(sidecar.address)).ask("GET", "/health/ready", X_Call_Id=None)
+        assert len(connection._waiting) == 5
+        assert stream.unread(connection._transport) == len(late)
+        sock.close()
+
+
+@pytest.mark.parametrize("hung_up", [stream.HUNG_UP, 0])
+@pytest.mark.parametrize(("before", "how"), [(b"", close), (b"", reset), (b"x", close), (b"x", reset)])
+def test_an_end_is_seen_also_behind_bytes_and_only_an_end_is(before, how, hung_up, monkeypatch):
+    """Where a kernel tells no hang-up the end of a connection with nothing unread is still seen."""
+    monkeypatch.setattr(stream, "HUNG_UP", hung_up)
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        sock = socket.create_connection(listening.getsockname())
+        there = stream.EarlyTransport(listening.accept()[0])
+        assert not stream.gone(there)
+        sock.sendall(before)
+        assert not stream.gone(there)
+        poll = select.poll()
+        poll.register(there.sock.fileno(), select.POLLRDHUP)
+        how(sock)
+        assert poll.poll(PATIENCE_S * 1000.0)
+        assert stream.gone(there) is (hung_up != 0 or not before or how is reset)
+        there.sock.close()
+        assert stream.gone(there)
+
+
+# --- dials ----------------------------------------------------------------------------
+
+
+class Held:
+    """Connections to servers that are up, but told of only once the test says so."""
+
+    def __init__(self, monkeypatch):
+        self.loop, self.up, self.gate = asyncio.get_running_loop(), 0, asyncio.Event()
+        self._real = self.loop.create_connection
+        monkeypatch.setattr(self.loop, "create_connection", self)
+
+    async def __call__(self, make, host, port):
+        made = await self._real(make, host, port)
+        self.up += 1
+        await self.gate.wait()
+        return made
+
+
+@loopback
+async def test_a_dial_that_comes_up_after_the_client_left_carries_nothing_and_serves_the_next(monkeypatch):
+    """Also where the settings forbid to cancel, so that the attempt is awaited."""
+    upstream = await Upstream().start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app, held = await App.connect(sidecar.address), Held(monkeypatch)
+        app.send()
+        await until(lambda: held.up)
+        app.close()
+        await until(lambda: module.named("client_gone"))
+        held.gate.set()
+        await until(lambda: module.outcomes())
+        assert module.outcomes() == [(0, Outcome.MOOT, True)] and upstream.seen == []
+        other = await App.connect(sidecar.address)
+        assert (await other.ask()).body == b"done"
+        assert [seen.connection for seen in upstream.seen] == [0]
+        assert len(upstream.writers) <= 2  # the second where the first has not yet stood quiet
+
+
+@loopback
+async def test_a_dial_that_comes_up_in_the_turn_in_which_the_client_leaves_carries_nothing(monkeypatch):
+    upstream = await Upstream().start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        sock, held = await rested(sidecar), Held(monkeypatch)
+        await asyncio.get_running_loop().sock_sendall(sock, request())
+        await until(lambda: held.up)
+        held.gate.set()
+        leave(sidecar, sock, close)
+        await until(lambda: module.outcomes())
+        assert module.outcomes() == [(0, Outcome.MOOT, True)] and upstream.seen == []
+        await nothing_is_held(sidecar)
+
+
+@pytest.mark.parametrize("served", [True, False])
+@loopback
+async def test_a_dial_that_comes_up_after_the_final_answer_carries_nothing(served, monkeypatch):
+    first, second = await Upstream().start(), await Upstream().start()
+    module = Scripted()
+
+    def twice(now, arrival):
+        other = Send(arrival.request, "s1", 0.0) if served else Refuse(arrival.request, 0.0)
+        return [Send(arrival.request, "s0", 0.0), other]
+
+    async with running(first, second, balancer=module) as sidecar:
+        app, held = await App.connect(sidecar.address), Held(monkeypatch)
+        real, only = held._real, sidecar.pool._servers["s0"].address
+
+        async def held_for_first(make, host, port):
+            return await (held if (host, port) == only else real)(make, host, port)
+
+        monkeypatch.setattr(held.loop, "create_connection", held_for_first)
+        module.scripts["request"] = twice
+        assert (await app.ask()).start.split(" ")[1] == ("200" if served else "503")
+        await until(lambda: held.up)
+        held.gate.set()
+        await until(lambda: len(module.outcomes()) == 1 + served)
+        assert module.outcomes()[-1] == (0, Outcome.MOOT, True) and first.seen == []
+        await until(lambda: not sidecar.driver._requests)
