Begin a keyed repeat while its key is remembered, or not at all

A repeat was chosen within the window (`_may_send`) and written when its connection was up, up to a connect time-out later and past the window: nothing between Balancer._send and Pool._connect knew of it.

Now a Send says within what time its first byte has to be written; the driver gives the pool no message after that, so nothing is written, the attempt is moot and the connection stays for others. The window runs from the first send that may have run.

Tests: a dial that is held past the time (red without), the module's figures (red without).

--- a/fordtrestle/engine/driver.py
+++ b/fordtrestle/engine/driver.py
@@ -278,18 +278,27 @@
         if over or attempt.hop >= self._settings.max_attempts:
             self._loop.call_soon(self._outcome, attempt, Result(Outcome.MOOT))
             return
+        begin_by = now + action.begin_within
         wait = min(action.timeout, left) if action.timeout > 0.0 else left
         expires = now + wait
         attempt.expires = expires
         attempt.timeout = self._loop.call_at(self._clock.at(expires), self._expire, attempt)
         attempt.exchange = self._upstreams.send(
             action.server,
-            # Guards against an attempt that waits for its connection while its request is answered.
-            lambda left: None if request.ended else request.call.wire(left),
+            lambda left: self._message(attempt, begin_by, left),
             expires,
             lambda result: self._outcome(attempt, result),
         )
 
+    def _message(self, attempt: OpenAttempt, begin_by: float, left: float) -> bytes | None:
+        """What an attempt writes as it begins, or None where it must not begin any more.
+
+        Guards against one that waits for its connection while its request is answered, or until servers have
+        forgotten the key that tells a repeat."""
+        if attempt.request.ended or self._clock.now() >= begin_by:
+            return None
+        return attempt.request.call.wire(left)
+
     def _refuse(self, request: OpenRequest, retry_after: float) -> None:
         request.call.refused(retry_after)
 
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -1229,7 +1229,10 @@
         return profile.semantics == "token" and profile.group == "all"
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout = self._timeout(now, request)
+        timeout, bound = self._timeout(now, request), request.bound()
+        # A repeat that waits for its connection must not begin once its key is forgotten.
+        keyed = bound and request.profile.semantics == "token"
+        within = bound.sent + request.profile.key_ttl - now if bound and keyed else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
         attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
         if gap > self._idle_safe(now):
@@ -1250,7 +1253,7 @@
         server.budget -= 1.0
         server.open += 1
         self._open += 1
-        self._out.append(model.Send(request.id, server.name, timeout))
+        self._out.append(model.Send(request.id, server.name, timeout, within))
 
     def _give_up(self, now: float, request: Request) -> None:
         """The final answer where no attempt has served."""
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -23,11 +23,13 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt; it times out after `timeout` milliseconds."""
+    """Start an attempt; it times out after `timeout` milliseconds. One whose first byte is not written
+    `begin_within` milliseconds from now must not begin any more: its outcome is MOOT."""
 
     request: int
     server: str
     timeout: float
+    begin_within: float = math.inf
 
 
 class Refuse(NamedTuple):
--- a/tests/http/test_client_gone.py
+++ b/tests/http/test_client_gone.py
@@ -11,11 +11,13 @@
 
 from fordtrestle.http import downstream, front, stream
 from fordtrestle.http import pool as pools
-from poppypulley.model import Outcome, Refuse, Send, Timer
+from poppypulley.model import Fail, Outcome, Refuse, Send, Timer
+from tests import loopback as partners
 from tests.http.test_holding import LARGE, bare
 from tests.http.test_upstream import FULL
 from tests.loopback import OK, PATIENCE_S, App, Scripted, Upstream, hang, loopback, request, running, until
 
+LIMITS = {**partners.SETTINGS["PolicyLimits"], "ConnectTimeout": 10_000.0}
 AT_REST = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -331,3 +333,26 @@
         await until(lambda: len(module.outcomes()) == 1 + served)
         assert module.outcomes()[-1] == (0, Outcome.MOOT, True) and first.seen == []
         await until(lambda: not sidecar.driver._requests)
+
+
+@pytest.mark.parametrize(("begin_within", "outcome"), [(20.0, Outcome.MOOT), (3_600_000.0, Outcome.OK)])
+@loopback
+async def test_an_attempt_whose_connection_comes_up_too_late_for_it_carries_nothing(
+    begin_within, outcome, monkeypatch
+):
+    """Guards against a keyed repeat that waits for its connection until its key is forgotten."""
+    upstream = await Upstream().start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0, begin_within)],
+        outcome=lambda now, number, hop, status, spent, last, report: [] if last else [Fail(number)],
+    )
+    async with running(upstream, balancer=module, PolicyLimits=LIMITS) as sidecar:
+        app, held = await App.connect(sidecar.address), Held(monkeypatch)
+        app.send("POST", "/book", b"x")
+        await until(lambda: held.up)
+        await asyncio.sleep(0.03)
+        held.gate.set()
+        await until(lambda: module.outcomes())
+        assert [status for _, status, _ in module.outcomes()] == [outcome]
+        assert len(upstream.seen) == (outcome is Outcome.OK)
+        assert (await app.answer()).start.split(" ")[1] == ("200" if outcome is Outcome.OK else "502")
--- a/tests/poppypulley/test_failures.py
+++ b/tests/poppypulley/test_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import Counter
 
 from poppypulley import Balancer, Settings
@@ -371,3 +372,15 @@
     play_cut(made, set(), 30)
     play_cut(made, {0, 1, 2}, 4, now=3600.0)
     assert not any(made._is_cut_off(5000.0, server) for server in made._ring)
+
+
+def test_a_keyed_repeat_has_to_begin_while_its_key_is_remembered():
+    """Guards against a repeat that waits for its connection: the window runs from the first send."""
+    made = balancer("keyed")
+    first = of_type(made.request(0.0, arrival(1)), Send)[0]
+    assert first.begin_within == math.inf
+    repeat = of_type(made.outcome(120.0, 1, 0, Outcome.RESET, 120.0), Send)[0]
+    assert repeat.begin_within == 500.0 - 120.0
+    free = balancer("safe")
+    free.request(0.0, arrival(1))
+    assert of_type(free.outcome(120.0, 1, 0, Outcome.RESET, 120.0), Send)[0].begin_within == math.inf
