Keep what is on its way to a server apart from the one that took its place

Seen: Pool._note changed address and start of a server in place. A connection to what stood there before, busy at the news, was put back as idle and used for the server that had started since, at its old address, too; a dial under way then was written to the old address, and one to a server whose address had gone to another name was written there for the whole grace (Pool.update, `replaced`).

Now a server that started anew or moved is another UpstreamServer: the one before is closed for writing at once, what is idle there goes, what is busy ends with its answer (Pool.free compares the objects, as it did), and a late second answer closes connections of its own life only. A grace that runs and the mark of second answers go on under the name.

Ruled out: a server that leaves and is back as it was keeps its dials; news repeated does not prolong the grace; a shorter grace (Pool.settle) reaches what is being connected, as its own tests say.

--- a/fordtrestle/http/pool.py
+++ b/fordtrestle/http/pool.py
@@ -104,7 +104,7 @@
             name for name, server in self._servers.items() if server.address in taken and name not in named
         ]
         for name in replaced:
-            self._leave(now, name, "left")
+            self._supersede(now, self._servers[name])
         for entry in news.entries:
             self._note(now, entry, news.addresses.get(entry.server))
         if whole:
@@ -118,15 +118,31 @@
             if address is None:
                 return
             known = self._servers[entry.server] = UpstreamServer(entry.server, address, started=entry.started)
-        if (address or known.address, entry.started) != (known.address, known.started):
-            # Guards against writing to what stood before a restart: a reset at best.
-            self.close_idle(known.name)
-            known.address, known.started = address or known.address, entry.started
+        elif (address or known.address, entry.started) != (known.address, known.started):
+            known = self._restarted(now, known, address or known.address, entry.started)
         if entry.state == "active":
             known.closed_from = math.inf
         else:
             self._leave(now, known.name, entry.state)
 
+    def _restarted(
+        self, now: float, known: UpstreamServer, address: Address, started: float
+    ) -> UpstreamServer:
+        """A server that started anew, or stands elsewhere; what was seen of it under its name goes on."""
+        anew = UpstreamServer(
+            known.name, address, started=started, closed_from=known.closed_from, clean_from=known.clean_from
+        )
+        self._supersede(now, known)
+        self._servers[known.name] = anew
+        return anew
+
+    def _supersede(self, now: float, server: UpstreamServer) -> None:
+        """Another stands in its place. Guards against writing to what stood before: a reset at best, and
+        what is being connected, or comes free later, reaches who knows whom."""
+        self._retire_all(server)
+        server.closed_from = min(server.closed_from, now)
+        del self._servers[server.name]
+
     def _leave(self, now: float, name: str, state: str) -> None:
         """A server drains or is gone: repeated news does not prolong the grace."""
         server = self._servers[name]
@@ -139,8 +155,7 @@
         """Close a server's idle connections, and only those."""
         known = self._servers.get(server)
         if known is not None:
-            for connection in list(known.idle):
-                self._retire(connection)
+            self._retire_all(known)
 
     def close(self) -> None:
         """Close all at the end."""
@@ -187,7 +202,7 @@
             if now >= server.clean_from:
                 log(f"{server.name}: a second answer, {now - connection.idle_since:.0f} ms late: no reuse")
             server.clean_from = now + CLEAN_MS
-            self.close_idle(server.name)
+            self._retire_all(server)
 
     def expect(self, connection: UpstreamConnection, size: int) -> bool:
         """An answer of so many bytes has begun; whether there is room for all of it now.
@@ -317,9 +332,7 @@
             exchange.end(Result(Outcome.CONNECT_FAILED))
             return
         message = exchange.message(exchange.expires - self._clock.now())
-        if (
-            message is None
-        ):  # its client has left meanwhile, or has its answer: the next may use the connection
+        if message is None:  # its client has left meanwhile, or has its answer
             self.free(connection)
             self._loop.call_soon(exchange.end, Result(Outcome.MOOT))
         else:
@@ -343,6 +356,10 @@
         while count > 0 and self._close_oldest():
             count -= 1
 
+    def _retire_all(self, server: UpstreamServer) -> None:
+        for connection in list(server.idle):
+            self._retire(connection)
+
     def _retire(self, connection: UpstreamConnection) -> None:
         """Close an idle connection; its descriptor is free at once."""
         del self._idle[connection]
--- a/fordtrestle/http/upstream.py
+++ b/fordtrestle/http/upstream.py
@@ -89,7 +89,7 @@
 
 @dataclass(slots=True, eq=False)
 class UpstreamServer:
-    """A server that discovery has named."""
+    """One life of a server that discovery has named: after a restart, or elsewhere, it is another."""
 
     name: str
     address: Address
--- /dev/null
+++ b/tests/http/test_restarts.py
@@ -0,0 +1,124 @@
+"""Servers that start anew, move or give way under their names, while something on its way to them is open."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fordtrestle.http import pool as pools
+from poppypulley.model import Outcome
+from tests.http.test_client_gone import Held
+from tests.http.test_upstream import failing, news, pooled
+from tests.loopback import OK, App, Scripted, Upstream, entry, loopback, running, until
+
+START = 1_790_000_000_000
+GRACE = {"Rules": {"StopSendingWithin": 60_000.0}}
+
+
+@pytest.fixture(autouse=True)
+def no_settling(monkeypatch):
+    """A connection may be used again at once."""
+    monkeypatch.setattr(pools, "SETTLE_MS", 0.0)
+
+
+def hear(sidecar, *entries):
+    sidecar.pool.update(sidecar.driver._clock.now(), False, news(*entries))
+
+
+@pytest.mark.parametrize("moves", [False, True])
+@loopback
+async def test_what_comes_free_after_a_restart_is_not_used_for_the_server_that_started_since(moves):
+    gate = asyncio.Event()
+
+    async def once_told(reader, writer):
+        await gate.wait()
+        return OK
+
+    old, new = await Upstream([once_told, OK]).start(), await Upstream().start()
+    async with running(old, balancer=Scripted(), **GRACE) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        await until(lambda: old.seen)
+        hear(sidecar, entry("s0", (new if moves else old).address, since_ms=0 if moves else START))
+        gate.set()
+        assert (await app.answer()).body == b"done"  # what has begun is awaited
+        assert not sidecar.pool._servers["s0"].idle
+        assert (await app.ask()).body == b"done"
+        assert [seen.connection for seen in old.seen] == ([0] if moves else [0, 1])
+        assert len(new.seen) == moves
+        await until(lambda: old.writers[0].is_closing() and len(sidecar.pool._connections) == 1)
+    new.stop()
+
+
+@pytest.mark.parametrize("what", ["started", "moved", "left and back elsewhere", "place taken"])
+@loopback
+async def test_a_dial_to_what_stood_before_carries_nothing(what, monkeypatch):
+    old, new = await Upstream().start(), await Upstream().start()
+    module = Scripted(outcome=failing)
+    async with running(old, balancer=module, **GRACE) as sidecar:
+        app, held = await App.connect(sidecar.address), Held(monkeypatch)
+        app.send()
+        await until(lambda: held.up)
+        if what == "started":
+            hear(sidecar, entry("s0", old.address, since_ms=START))
+        elif what == "moved":
+            hear(sidecar, entry("s0", new.address))
+        elif what == "left and back elsewhere":
+            (dialled,) = sidecar.pool._opening.values()
+            hear(sidecar, entry("s0", status="left"))
+            dialled.closed_from = sidecar.driver._clock.now()  # its grace is over
+            hear(sidecar, entry("s0", new.address))
+        else:
+            hear(sidecar, entry("other", old.address))
+        held.gate.set()
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert module.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+        assert old.seen == new.seen == []
+        await until(lambda: not sidecar.pool._connections)
+        assert sidecar.limits.descriptors.held == 1  # the client's
+    new.stop()
+
+
+@loopback
+async def test_a_server_that_leaves_and_is_back_as_it_was_takes_what_was_on_its_way():
+    upstream = await Upstream().start()
+    async with running(upstream, balancer=Scripted(), **GRACE) as sidecar:
+        hear(sidecar, entry("s0", upstream.address, status="leaving"))
+        leaving = sidecar.pool._servers["s0"]
+        assert leaving.closed_from < float("inf")
+        hear(sidecar, entry("s0", upstream.address))
+        assert sidecar.pool._servers["s0"] is leaving and leaving.closed_from == float("inf")
+
+
+@loopback
+async def test_what_was_seen_under_a_name_goes_on_and_its_grace_does_not_grow():
+    upstream = await Upstream().start()
+    pool = pooled(upstream)
+    pool.update(1000.0, False, news(entry("s0", upstream.address, status="leaving")))
+    first = pool._servers["s0"]
+    first.clean_from = 9000.0
+    until_ms = first.closed_from
+    pool.update(1400.0, False, news(entry("s0", upstream.address, status="leaving", since_ms=START)))
+    second = pool._servers["s0"]
+    assert second is not first and (second.closed_from, second.clean_from) == (until_ms, 9000.0)
+    assert first.closed_from == 1400.0  # nothing more is written to what stood there
+    pool.update(1500.0, False, news(entry("s0", upstream.address, since_ms=START)))
+    assert pool._servers["s0"] is second and second.closed_from == float("inf")
+    upstream.stop()
+
+
+@loopback
+async def test_a_second_answer_of_what_stood_before_closes_nothing_of_what_stands_now():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        (before,) = sidecar.pool._connections
+        hear(sidecar, entry("s0", upstream.address, since_ms=START))
+        await until(lambda: upstream.writers[0].is_closing() and not sidecar.pool._connections)
+        await app.ask()
+        (now,) = sidecar.pool._servers["s0"].idle
+        sidecar.pool.unasked(before)
+        assert sidecar.pool._servers["s0"].idle == [now]
+        assert sidecar.pool._servers["s0"].clean_from == 0.0
