Bound what a server may send behind the head of an answer that does not end

Seen: AnswerParser counted heads and bodies only. A trailer without end behind the last chunk was kept by the parser for as long as the attempt was awaited, joined anew at each read: 25 MB fed took 49 MB more and 7 s of the loop. A chunk size or a chunk extension without end cost time alone.

Now an answer has 512 KiB behind its head at the most; the largest body, in chunks of one byte, takes 384 KiB.

Ruled out, and held by tests: endless heads, interim answers and bodies were bounded; an answer that trickles ends with its attempt; one that only its end would bound (no length, HTTP/1.0, a coding that is not chunked) is never served, whether it is ended or reset, and an unsafe request is not sent again for it; noise behind an answer costs its connection only.

Tests: tests/http/test_endless.py, five cases red without this.

--- a/fordtrestle/http/wire.py
+++ b/fordtrestle/http/wire.py
@@ -9,6 +9,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+MAX_FRAMED = 8 * MAX_BODY  # bytes behind a head: a body in chunks of one byte each is six times as long
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 Headers = list[tuple[bytes, bytes]]
@@ -77,6 +78,7 @@
     def reset(self) -> None:
         """Make ready for the next answer."""
         self._head = 0  # of interim answers, too: they may not go on for ever
+        self._framed = 0
         self.body = bytearray()
         self.complete = False
         self.keep_alive = False
@@ -99,6 +101,11 @@
             self.extra = True
         if not self._head_done:
             self._count(len(data))
+        elif not self.complete:
+            # Guards against trailers and chunk sizes without end, which the parser keeps until they have one.
+            self._framed += len(data)
+            if self._framed > MAX_FRAMED:
+                raise BadAnswer("the body does not end")
 
     def close(self) -> None:
         """No more comes; the parser refers back: without it the memory is free at once."""
--- /dev/null
+++ b/tests/http/test_endless.py
@@ -0,0 +1,158 @@
+"""Answers of servers that never end, trickle, or are cut where only their end would bound them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from fordtrestle.http import wire
+from poppypulley.model import Outcome, Send
+from tests.http.test_upstream import CHUNKED, failing
+from tests.loopback import OK, App, Scripted, Upstream, loopback, running, until
+
+BARE = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (CHUNKED + b"4\r\ndone\r\n0\r\nX-A: ", b"x" * 4096),
+        (CHUNKED + b"4\r\ndone\r\n0\r\n", b"x" * 4096),
+        (CHUNKED + b"4\r\ndone\r\n0\r\n", b"X-A: b\r\n" * 512),
+        (CHUNKED + b"4;a=", b"x" * 4096),
+        (CHUNKED, b"0" * 4096),
+        (CHUNKED, b"1\r\nx\r\n" * 512),
+        (BARE + b"X-A: ", b"x" * 4096),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+        (BARE + b"Transfer-Encoding: gzip\r\n\r\n", b"x" * 4096),
+    ],
+)
+def test_whatever_of_an_answer_does_not_end_is_bounded(start, more):
+    """Guards against memory, and time of the loop, without bound for as long as an attempt is awaited."""
+    parser = wire.AnswerParser()
+    fed = 0
+    with pytest.raises(wire.BadAnswer):
+        parser.feed(start)
+        while fed < 2 * wire.MAX_FRAMED:
+            parser.feed(more)
+            fed += len(more)
+    assert fed <= wire.MAX_FRAMED
+
+
+def test_a_body_in_chunks_of_one_byte_is_whole():
+    parser = wire.AnswerParser()
+    parser.feed(CHUNKED)
+    for _ in range(wire.MAX_BODY // 1024):
+        parser.feed(b"1\r\nx\r\n" * 1024)
+    parser.feed(b"0\r\n\r\n")
+    assert parser.complete and parser.body == b"x" * wire.MAX_BODY
+
+
+@loopback
+async def test_a_trailer_that_does_not_end_fails_its_attempt_and_its_connection():
+    async def endless(reader, writer):
+        writer.write(CHUNKED + b"4\r\ndone\r\n0\r\nX-A: ")
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(b"x" * 4096)
+                await writer.drain()
+        closed.set()
+
+    closed = asyncio.Event()
+    upstream = await Upstream([endless]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask(X_Budget="3600000m")).start.split(" ")[1] == "502"
+        assert module.outcomes() == [(0, Outcome.ERROR, False)]
+        await closed.wait()
+
+
+@loopback
+async def test_an_answer_that_trickles_ends_with_the_time_of_its_attempt():
+    async def trickling(reader, writer):
+        writer.write(BARE + b"Content-Length: 60000\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(b"x")
+                await asyncio.sleep(0.01)
+
+    upstream = await Upstream([trickling]).start()
+    module = Scripted(request=lambda now, arrival: [Send(arrival.request, "s0", 300.0)], outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask(X_Budget="3600000m")).start.split(" ")[1] == "502"
+        assert module.outcomes()[0][1] in (Outcome.TIMEOUT, Outcome.CANCELLED)  # if it stood still
+        await until(lambda: upstream.writers[0].is_closing() and not sidecar.pool._connections)
+
+
+@pytest.mark.parametrize("ends", ["whole", "reset"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        BARE + b"\r\ndone",
+        BARE + b"Connection: close\r\n\r\ndone",
+        b"HTTP/1.0 200 OK\r\n\r\ndone",
+        BARE + b"Transfer-Encoding: gzip\r\n\r\ndone",
+        CHUNKED + b"4\r\ndone\r\n",
+        CHUNKED + b"4\r\ndone\r\n0\r\n",
+        BARE + b"Content-Length: 5\r\n\r\ndone",
+    ],
+)
+@loopback
+async def test_what_only_an_end_would_bound_is_never_served(answer, ends):
+    """An end may be a reset's, and a reset is no end; the request may have run, so it is not sent again."""
+
+    async def then_end(reader, writer):
+        writer.write(answer)
+        await asyncio.sleep(0)
+        if ends == "reset":
+            await until(lambda: begun() or module.outcomes())  # a reset takes what is not read with it
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    def begun():
+        return any(connection._parser.status for connection in sidecar.pool._connections)
+
+    upstreams = [await Upstream([then_end]).start() for _ in range(2)]
+    module = Scripted(outcome=failing)
+    async with running(*upstreams, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        reply = await app.ask("POST", "/pay", b"now")
+        assert reply.start.split(" ")[1] == "502" and reply.body == b""
+        assert module.outcomes()[0][1] in (Outcome.ERROR, Outcome.RESET)
+
+
+@pytest.mark.parametrize("ends", ["whole", "reset"])
+@loopback
+async def test_an_unsafe_request_whose_answer_was_cut_is_failed_and_not_sent_again(ends):
+    async def cut(reader, writer):
+        writer.write(BARE + b"Content-Length: 5\r\n\r\ndone")
+        if ends == "reset":
+            writer.transport.abort()
+
+    upstreams = [await Upstream([cut]).start() for _ in range(3)]
+    async with running(*upstreams) as sidecar:
+        reply = await (await App.connect(sidecar.address)).ask("POST", "/pay", b"now")
+        assert reply.start.split(" ")[1] == "502"
+        assert sum(len(upstream.seen) for upstream in upstreams) == 1
+
+
+@loopback
+async def test_noise_behind_an_answer_costs_its_connection_and_nothing_else():
+    async def noisy(reader, writer):
+        writer.write(OK + b"HTTP/1.1 200 OK\r\nX-A: " + b"x" * 200_000)
+        return None
+
+    upstream = await Upstream([noisy, OK]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        assert (await app.ask()).body == b"done"
+        assert [seen.connection for seen in upstream.seen] == [0, 1]
+        await until(lambda: len(sidecar.pool._connections) == 1)
