Close client connections in order: end writing, drop what comes, then close

The question whether anything is unread and the close are never one step, and the transport's own close comes a turn of the loop later; a reset takes what the kernel still holds. Ruled out: nothing read after the shutdown is sent on, `_deaf` is set before it on every path; a next request in the same bytes was still judged, and is not now.

Now each connection at rest or behind its last answer is shut for writing first, then read and dropped until its client ends it or LINGER_S is over; an early one does so with no transport. The time does not run out on a client that still reads its last answer. One that lingers gives way first, but not while the kernel holds part of its answer; those that linger at the limit count for nobody's place, so that they shield no one at rest.

Tests: tests/http/test_closing.py (bytes delivered in the call of shutdown or close; a slow reader; an answer on its way) and the shield in test_accept.py. Red without: the seven crossings by a reset, the slow reader without the look at what is unsent, the answer on its way without the look into the kernel, the shield without its exception.

--- a/fordtrestle/daemon/process.py
+++ b/fordtrestle/daemon/process.py
@@ -163,6 +163,8 @@
         until = self._loop.time() + LAST_BYTES_S
         while not all(front.empty for front in fronts) and self._loop.time() < until:
             await self._close_idle(fronts)
+        for front in fronts:
+            front.close()  # whoever does not end its connection, though it was ended here
 
     @staticmethod
     async def _close_idle(fronts: list[Front]) -> None:
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -24,7 +24,7 @@
 # An error or a close is owed within 3 s of connecting; healthy connections rest for 2 s and more.
 HALF_SENT_S = 2.0  # for the rest of a request whose first byte has come
 OWED_S = 1.5  # a request that is turned away waits so long for those before it
-LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
+LINGER_S = 1.0  # for a client to read the last answer and to end the connection, too, once it is ended here
 
 
 class Taker(Protocol):
@@ -213,7 +213,6 @@
         self._deaf = False  # nothing more is read as a request
         self._stuck = False  # its client does not read what is written
         self._lost = False
-        self._still_sending = False  # the rest of what it is turned away for
         self._written = 0  # bytes of answers
         self.held = 0  # bytes in the front's book
 
@@ -226,10 +225,13 @@
     @property
     def quiet(self) -> bool:
         """Whether it may be closed for another's sake: no whole request is open, nothing is unread on
-        either side. Half a request that has come so far does not keep it, nor what comes behind the last."""
+        either side. Half a request that has come so far does not keep it, nor what comes behind the last
+        answer once that has reached its client: a reset would take it."""
         if self._waiting or self.unsent:
             return False
-        return self._deaf or not stream.readable(self._transport)
+        if self._deaf:
+            return not stream.in_kernel(self._transport)
+        return not stream.readable(self._transport)
 
     @property
     def unsent(self) -> int:
@@ -244,8 +246,7 @@
 
     def close(self) -> None:
         """Close it, between requests."""
-        self._deaf = True
-        self._transport.close()
+        self._linger()
 
     def abort(self) -> None:
         """Close it whatever it holds."""
@@ -345,6 +346,8 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
+        if self._deaf:
+            return  # it came behind the last request that is read
         self._message = Message()
         self._head_bytes = self._framing = 0
         self._tail = b""
@@ -514,7 +517,6 @@
         call = ClientCall(self)
         call.keep_alive = False
         head_only = self._message is not None and self._message.method == "HEAD"
-        self._still_sending = self._message is not None and self._message.more_to_come
         self._message = self._call = None
         self._deaf = True
         self._front.table.turn_away(self.seat, self._front.clock.now())
@@ -539,19 +541,24 @@
                 self._front.taker.client_gone(request)
 
     def _linger(self) -> None:
-        """Close after the last answer. Guards against a reset that takes the answer with it,
-        where the client is still sending: its bytes are read and dropped for a while."""
+        """Close after the last answer, or at rest: write nothing more, and read and drop what still comes
+        until the client ends it, too, or for a while.
+
+        Guards against a reset that takes the answer with it, by bytes that come just as it is closed."""
         self._deaf = True
         self._front.table.turn_away(self.seat, self._front.clock.now())
         self._stop_clock()
         self._untaken.clear()
-        sending = self._still_sending or self._message is not None or stream.readable(self._transport)
-        if not sending and not self._waiting:
-            self._transport.close()
-            return
         stream.end(self._transport)
         self._read_on(True)
-        self._clock = self._front.loop.call_later(LINGER_S, self.abort)
+        self._clock = self._front.loop.call_later(LINGER_S, self._lingered)
+
+    def _lingered(self) -> None:
+        """Its client has not ended it. One that still reads the answer may: the front cuts who does not."""
+        if self.unsent:
+            self._clock = self._front.loop.call_later(LINGER_S, self._lingered)
+        else:
+            self.abort()
 
     def _bound_unfinished(self, data: bytes) -> None:
         """Guards against half-sent requests: their size and their time are bounded."""
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from fordtrestle.engine.clock import Clock
-from fordtrestle.engine.connections import ConnectionTable, Seat, TableOptions
+from fordtrestle.engine.connections import ConnectionTable, Seat, Standing, TableOptions
 from fordtrestle.engine.lag import LagMeter
 from fordtrestle.engine.limits import Budget, Part
 from fordtrestle.engine.log import log
@@ -141,7 +141,7 @@
         for acceptor in self._acceptors:
             acceptor.close()
         for seat in self.table:
-            seat.holder.abort()
+            self._dismiss(seat)
 
     # --- connections ------------------------------------------------------------
 
@@ -172,16 +172,21 @@
         newcomer.seat.holder = connection
         self._seated[connection] = self._seated.pop(newcomer)
         connection.data_received(data)
-        if early.finish():
-            connection.connection_lost(None)
+        if self._ended_early(connection, early):
             return
         task = self.loop.create_task(self._start(connection, early))
         self._starting.add(task)
         task.add_done_callback(self._starting.discard)
 
+    def _ended_early(self, connection: ClientConnection, early: stream.EarlyTransport) -> bool:
+        """Whether a connection needs no transport any more: its last answer is sent."""
+        if not early.finish():
+            return False
+        early.linger(self.loop, lambda: connection.connection_lost(None))
+        return True
+
     async def _start(self, connection: ClientConnection, early: stream.EarlyTransport) -> None:
-        if early.finish():
-            connection.connection_lost(None)
+        if self._ended_early(connection, early):
             return
         try:
             early.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
@@ -194,10 +199,13 @@
     def _make_room(self, urgent: bool = False) -> bool:
         """Have another give way, whose descriptor is taken over; whether one did. Who only stands at the
         limit leaves no place: then the next one goes, too."""
-        for _ in range(DISMISSED_MOST):
+        most = DISMISSED_MOST
+        while most:
             seat = self.table.victim(self.clock.now(), _quiet, urgent)
             if seat is None:
                 return False
+            if seat.standing is not Standing.TURNED_AWAY or self._seated.get(seat.holder) is not self.spare:
+                most -= 1  # one that lingers at the limit is answered and ended: it costs nobody anything
             self._dismiss(seat)
             if self.budget.descriptors.take():
                 return True
@@ -248,7 +256,7 @@
             seat.holder.first_is_overdue()
         for seat in self.table.rested(now):
             if seat.holder.idle:
-                self._dismiss(seat)
+                seat.holder.close()
         for connection in list(self.unread):
             connection.has_left()
         for connection, stuck in list(self._stuck.items()):
@@ -264,7 +272,7 @@
         self.table.rest(seat, now)
         too_many = self.table.one_too_many(now, _quiet)
         if too_many is not None:
-            self._dismiss(too_many)
+            too_many.holder.close()
 
     # --- bytes ------------------------------------------------------------------
 
--- a/fordtrestle/http/requests.py
+++ b/fordtrestle/http/requests.py
@@ -83,21 +83,19 @@
 class Message:
     """A request as it is parsed."""
 
-    __slots__ = ("_passed", "_values", "body", "head_whole", "headers", "judged", "method", "target")
+    __slots__ = ("_passed", "_values", "body", "headers", "judged", "method", "target")
 
     def __init__(self) -> None:
         self.method = ""
         self.target = b""
         self.headers: wire.Headers = []
         self.body = bytearray()
-        self.head_whole = False
         self.judged = False  # and it was found good
         self._values: dict[str, bytes] = {}
         self._passed: wire.Headers = []
 
     def end_head(self) -> None:
         """The head is whole: index its fields, and reject what can be read in two ways."""
-        self.head_whole = True
         values = self._values
         for field in self.headers:
             name = small(field[0])
@@ -118,14 +116,6 @@
         if dotted and DOTS.search(self.target.partition(b"?")[0]):
             raise BadRequest(400, "dot segments in the path")
 
-    @property
-    def more_to_come(self) -> bool:
-        """Whether its client has more of it to send: the rest of the head, or a body."""
-        framing = {b"content-length", b"transfer-encoding"}
-        return not self.head_whole or any(
-            key.lower() in framing and value != b"0" for key, value in self.headers
-        )
-
     def speaks_other(self, raw: bytes) -> bool:
         """Whether the request line, if `raw` holds its end, names another protocol than HTTP.
 
--- a/fordtrestle/http/stream.py
+++ b/fordtrestle/http/stream.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import termios
+from collections.abc import Callable
 
 READ_MOST = 64 * 1024
 HUNG_UP = select.POLLRDHUP
@@ -80,16 +81,19 @@
 class EarlyTransport:
     """Stands in for a connection's transport until one is worth its cost: what is written is kept.
 
-    A transport costs more than all else of a request that is turned away, and most of a crowd's are."""
+    A transport costs more than all else of a request that is turned away, and most of a crowd's are: such
+    a connection ends here, with none."""
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.kept = bytearray()
-        self.closing = self.paused = self.ended = False
+        self.aborted = self.paused = self.ended = False
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._lost: Callable[[], None] | None = None  # told once it is closed here
 
     def write(self, data: bytes) -> None:
         """Keep bytes to be sent."""
-        if not self.closing:
+        if not self.aborted:
             self.kept += data
 
     def write_eof(self) -> None:
@@ -100,14 +104,11 @@
         """As with a real one."""
         return True
 
-    def close(self) -> None:
-        """Close it once what is kept is sent."""
-        self.closing = True
-
     def abort(self) -> None:
         """Close it at once."""
-        self.closing = True
+        self.aborted = True
         self.kept.clear()
+        self._close()
 
     def pause_reading(self) -> None:
         """Nothing is to be read."""
@@ -126,8 +127,8 @@
         return self.sock if name == "socket" else None
 
     def finish(self) -> bool:
-        """Send what is kept and close, where nothing more is needed for that; whether it was done."""
-        if not self.closing:
+        """Send what is kept, where nothing is written behind it; whether only `linger` is left to do."""
+        if not (self.ended or self.aborted):
             return False
         try:
             del self.kept[: self.sock.send(self.kept) if self.kept else 0]
@@ -135,14 +136,39 @@
             return False
         except OSError:
             self.kept.clear()  # its client has gone
-        if self.kept:
-            return False
-        self.sock.close()
-        return True
+        return not self.kept
+
+    def linger(self, loop: asyncio.AbstractEventLoop, lost: Callable[[], None]) -> None:
+        """Write nothing more, and drop what is still read until its client ends it, too, or it is aborted:
+        then `lost` is called."""
+        self._loop, self._lost = loop, lost
+        if self.aborted:
+            self._close()
+            return
+        with contextlib.suppress(OSError):  # its client has gone
+            self.sock.shutdown(socket.SHUT_WR)
+        loop.add_reader(self.sock.fileno(), self._drop)
+
+    def _drop(self) -> None:
+        try:
+            if self.sock.recv_into(SHARED):
+                return
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            pass
+        self._close()
+
+    def _close(self) -> None:
+        lost, self._lost = self._lost, None
+        if lost is not None and self._loop is not None:
+            self._loop.remove_reader(self.sock.fileno())
+            self.sock.close()
+            lost()
 
     def hand_over(self, transport: asyncio.Transport) -> None:
         """The real one goes on from here."""
-        if self.closing and not self.kept:
+        if self.aborted:
             transport.abort()
             return
         if self.kept:
@@ -151,8 +177,6 @@
             transport.pause_reading()
         if self.ended:
             end(transport)
-        if self.closing:
-            transport.close()
 
 
 def end(transport: asyncio.Transport | EarlyTransport) -> None:
--- a/tests/http/test_accept.py
+++ b/tests/http/test_accept.py
@@ -202,3 +202,26 @@
         await until(lambda: sidecar.limits.descriptors.held == sidecar.pool.budget.descriptors.held)
         assert sidecar.front.budget.descriptors.held == 0
         assert not sidecar.front._seated and not sidecar.front._starting
+
+
+@loopback
+async def test_who_was_answered_at_the_limit_and_keeps_its_connection_shields_nobody_at_rest():
+    """Guards against refusing a client because many at the limit have yet to end what was ended here."""
+    release = asyncio.Event()
+    upstream = await Upstream([until_event(release), OK]).start()
+    async with running(upstream) as sidecar:
+        tight(sidecar, places=1, spare=20)
+        busy = await App.connect(sidecar.address)
+        busy.send()
+        await until(lambda: upstream.seen)
+        late = [await App.connect(sidecar.address) for _ in range(20)]
+        await until(lambda: sidecar.front.spare.held == 20)
+        for app in late:
+            app.send(X_Caller="nobody")  # answered and ended here, and none of them ends it
+        for app in late:
+            assert status_of(await app.answer()) == 400
+        assert sidecar.front.spare.held == 20
+        release.set()
+        assert status_of(await busy.answer()) == 200
+        good = await App.connect(sidecar.address)
+        assert status_of(await good.ask()) == 200
--- /dev/null
+++ b/tests/http/test_closing.py
@@ -0,0 +1,173 @@
+"""Closing a client's connection as bytes come in that moment: an orderly end, and they are not taken."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from fordtrestle.engine.connections import ConnectionTable, Standing, TableOptions
+from fordtrestle.http import downstream
+from fordtrestle.http import front as front_module
+from fordtrestle.http.downstream import ClientConnection
+from tests.loopback import OK, App, Upstream, loopback, request, running, until
+
+BODY = 65536
+LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (BODY, b"x" * BODY)
+READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+class Crossing:
+    """A client whose bytes come just as the sidecar shuts its connection or closes it, whichever is first."""
+
+    def __init__(self, monkeypatch, sock, late):
+        self.crossed = []
+        self._sock = sock
+        self._late = late
+        for step in ("shutdown", "close"):
+            monkeypatch.setattr(socket.socket, step, self._crossed(step, getattr(socket.socket, step)))
+
+    def _crossed(self, step, plain):
+        def crossed(sock, *args):
+            if not self.crossed and self._is_other_end(sock):
+                self.crossed.append(step)
+                self._sock.sendall(self._late)
+            return plain(sock, *args)
+
+        return crossed
+
+    def _is_other_end(self, sock):
+        try:
+            return sock.getpeername() == self._sock.getsockname()
+        except OSError:
+            return False
+
+
+async def client(address, kernel=0):
+    """A client's socket, for which its kernel takes in no more than that, unless it is 0."""
+    sock = socket.socket()
+    if kernel:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, kernel)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, tuple(address))
+    return sock
+
+
+async def to_the_end(sock):
+    """All that the sidecar sends up to its end; `ConnectionResetError` where there is no such end."""
+    loop, got = asyncio.get_running_loop(), b""
+    async with asyncio.timeout(10.0):
+        while data := await loop.sock_recv(sock, 65536):
+            got += data
+    return got
+
+
+def standing(front):
+    return [seat.standing for seat in front.table]
+
+
+async def asked(sock, sent):
+    """What is answered, up to the last word of a server's body."""
+    loop, got = asyncio.get_running_loop(), b""
+    await loop.sock_sendall(sock, sent)
+    async with asyncio.timeout(10.0):
+        while not got.endswith(b"done"):
+            got += await loop.sock_recv(sock, 65536)
+    return got
+
+
+@pytest.mark.parametrize("why", ["drain", "rest", "too many", "overdue"])
+@loopback
+async def test_a_request_that_crosses_the_close_of_a_resting_connection_meets_an_end_and_is_not_sent_on(
+    why, monkeypatch
+):
+    """Guards against a reset, and against serving on a connection that has no way back."""
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        front, drain = sidecar.front, None
+        front.table = ConnectionTable(TableOptions(100, once_rest_ms=100.0 if why == "rest" else 1e9))
+        sock = await client(sidecar.address)
+        if why == "overdue":
+            await asyncio.get_running_loop().sock_sendall(sock, b"\r\n")  # no request, and no newcomer
+            await until(lambda: any(isinstance(seat.holder, ClientConnection) for seat in front.table))
+            await until(lambda: not front._starting)
+        else:
+            await asked(sock, request())
+            await until(lambda: front.table.at_rest == 1)
+        crossing = Crossing(monkeypatch, sock, request())
+        if why == "drain":
+            drain = asyncio.create_task(sidecar.drain())
+        elif why == "too many":
+            monkeypatch.setattr(front.table, "_once_most", 0)
+            other = await App.connect(sidecar.address)
+            await other.ask()
+        elif why == "overdue":
+            next(iter(front.table)).holder.first_is_overdue()
+        assert await to_the_end(sock) == b""
+        assert crossing.crossed == ["shutdown"]
+        sock.close()
+        if drain is not None:
+            await drain
+        await until(lambda: len(front.table) == (why == "too many"))
+        assert len(upstream.seen) == {"overdue": 0, "too many": 2}.get(why, 1)
+        assert front.budget.descriptors.held == len(front.table)
+
+
+@pytest.mark.parametrize(
+    ("first", "status"),
+    [
+        (READY, b"200"),  # answered with its first bytes, with no transport
+        (request(X_Caller="nobody") + b"\x00", b"400"),
+        (b"GET /look HTTP/1.1\r\n: x\r\n\r\n", b"400"),
+        (request(Connection="close"), b"200"),  # answered by a server
+    ],
+)
+@loopback
+async def test_bytes_that_cross_the_close_behind_a_last_answer_take_nothing_of_it(first, status, monkeypatch):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        sock = await client(sidecar.address)
+        crossing = Crossing(monkeypatch, sock, request())
+        await asyncio.get_running_loop().sock_sendall(sock, first)
+        answer = await to_the_end(sock)
+        assert answer.split(b" ")[1] == status and b"Connection: close" in answer
+        assert answer.count(b"HTTP/1.1") == 1
+        assert crossing.crossed == ["shutdown"]
+        await asyncio.get_running_loop().sock_sendall(sock, request())  # nor what comes later
+        sock.close()
+        await until(lambda: sidecar.front.empty)
+        assert len(upstream.seen) == (1 if b"/look" in first and status == b"200" else 0)
+        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._seated
+
+
+@loopback
+async def test_a_slow_reader_gets_its_last_answer_whole_however_long_that_takes(monkeypatch):
+    """Guards against a bound on the client's end that cuts an answer which it still reads."""
+    monkeypatch.setattr(front_module, "SEND_BUFFER", 4096)
+    monkeypatch.setattr(downstream, "LINGER_S", 0.02)
+    upstream = await Upstream([LARGE]).start()
+    async with running(upstream) as sidecar:
+        sock = await client(sidecar.address, kernel=4096)
+        await asyncio.get_running_loop().sock_sendall(sock, request(Connection="close"))
+        await until(lambda: sidecar.front._stuck)
+        await asyncio.sleep(5 * downstream.LINGER_S)
+        assert (await to_the_end(sock)).count(b"x") == BODY
+        await until(lambda: sidecar.front.empty)  # though it does not end the connection
+        sock.close()
+
+
+@loopback
+async def test_a_last_answer_on_its_way_is_not_cut_for_anothers_place():
+    """Guards against a close over what the kernel still holds: by a reset, the client would lose it."""
+    upstream = await Upstream([LARGE]).start()
+    async with running(upstream) as sidecar:
+        sock = await client(sidecar.address, kernel=4096)
+        await asyncio.get_running_loop().sock_sendall(sock, request(Connection="close"))
+        await until(lambda: standing(sidecar.front) == [Standing.TURNED_AWAY])  # ended here, and it lingers
+        (seat,) = sidecar.front.table
+        await until(lambda: not seat.holder.unsent)
+        assert not seat.holder.quiet
+        assert (await to_the_end(sock)).count(b"x") == BODY
+        await until(lambda: sidecar.front.empty or seat.holder.quiet)
+        sock.close()
