Set TCP_NODELAY on the listening socket, so that early answers have it too

Seen: a connection accepted here and answered with no transport (EarlyTransport sends on the raw socket) had TCP_NODELAY off; asyncio sets it only on its transports. Checked: on Linux an accepted socket inherits it from the listening one. One write a connection is not held back, but two are, until the first is acknowledged, and a reset would take the second.

Test: the option read on accepted sockets; red without.

--- a/fordtrestle/daemon/sockets.py
+++ b/fordtrestle/daemon/sockets.py
@@ -24,4 +24,8 @@
 
 def _listening(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    return socket.create_server(address, family=family, backlog=BACKLOG)
+    sock = socket.create_server(address, family=family, backlog=BACKLOG)
+    # Accepted connections inherit it (tcp(7)). Guards against an answer that the kernel holds back behind
+    # another, and that a reset takes with it; the loop sets it only on those that get a transport.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -171,3 +171,17 @@
         assert (await to_the_end(sock)).count(b"x") == BODY
         await until(lambda: sidecar.front.empty or seat.holder.quiet)
         sock.close()
+
+
+@loopback
+async def test_no_answer_is_held_back_on_a_connection_that_has_no_transport_yet():
+    async with running() as sidecar:
+        socks = [await client(sidecar.address) for _ in range(2)]
+        await until(lambda: len(sidecar.front.table) == 2)
+        delays = [
+            seat.holder.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            for seat in sidecar.front.table
+        ]
+        assert all(delays)
+        for sock in socks:
+            sock.close()
