Bound the drain by its calls' deadlines, and refuse what is whole past 0.7 s

Seen: with a call open the first loop of `Process.drain` let half of a request become whole at any time and sent it on with its full budget, past SIGKILL; with none open, the second loop did the same and `close` cut it 0.3 s later, unanswered. A newcomer was closed as the drain began though its first bytes were on their way. A request that the module forgets, its guard cancelled, kept the drain going for good. The 0.5 s began when the loop looked, after a start of any length, and not with the signal. What was queued was reset 0.2 s after the listening had stopped.

Now the times run from the signal (signals.py notes it): 0.5 s listening; until 0.7 s newcomers and halves stay and what becomes whole is taken; then halves are told 503, what is whole is refused, never sent on, and the queue is accepted for 0.5 s only to be answered. The drain waits for what is taken by its deadline and guard (`Driver.due`) and fails what is left. Then 0.3 s for last bytes, as before.

Ruled out: SIGTERM twice, beside SIGHUP and SIGINT, before it listens and before `attach`, and with the queue full while it stands still: each queued request has one answer, exit code 0, no line in the log.

Tests: tests/daemon/test_draining.py. Red without: the half (408 after 2 s, or sent on), whole past the last moment, what is whole in time (twice, cut), the queue past its time, the forgotten request (no end), the signal's time.

--- a/fordtrestle/daemon/process.py
+++ b/fordtrestle/daemon/process.py
@@ -22,8 +22,9 @@
 from fordtrestle.http.pool import Pool, PoolOptions
 
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
-# longest deadline and 0.7 s after it, and nothing may be taken past 0.7 s.
+# longest deadline and 0.7 s after it: what is read past 0.7 s is refused.
 STILL_LISTEN_S = 0.5
+STILL_TAKE_S = 0.7
 POLL_S = 0.02
 LAST_BYTES_S = 0.3
 CLOSING_TURNS = 4  # of the loop, until all that was closed has told so
@@ -153,19 +154,33 @@
             bound[name] = [await place.front.listen(sock) for sock in made]
         return bound
 
-    async def drain(self) -> None:
-        """Stop listening, finish what was taken, close connections between requests."""
+    async def drain(self, told_at: float | None = None) -> None:
+        """Stop listening, finish what was taken, close connections between requests.
+
+        It lasts until the last request that was taken has its answer, which is at its deadline at the latest,
+        and LAST_BYTES_S more for clients that have yet to read or to end their connection. `told_at`: when it
+        was told to end, in the loop's seconds; None: as long ago as it listens on."""
         fronts = [place.front for place in self.fronts.values()]
+        now = self._loop.time()
+        last = STILL_TAKE_S + (now - STILL_LISTEN_S if told_at is None else told_at)
         for front in fronts:
-            front.stop_listening()
-        while not all(service.driver.idle for service in self.services.values()):
+            front.stop_listening(last - now)
+        while self._may_take(fronts, last) or any(service.driver.due for service in self.services.values()):
             await self._close_idle(fronts)
+        for front in fronts:
+            front.fail_waiting()
         until = self._loop.time() + LAST_BYTES_S
         while not all(front.empty for front in fronts) and self._loop.time() < until:
             await self._close_idle(fronts)
         for front in fronts:
             front.close()  # whoever does not end its connection, though it was ended here
 
+    def _may_take(self, fronts: list[Front], last: float) -> bool:
+        """Whether a request may come yet that is taken, or a connection that has to be told."""
+        if any(front.accepting for front in fronts):
+            return True
+        return self._loop.time() <= last and not all(front.empty for front in fronts)
+
     @staticmethod
     async def _close_idle(fronts: list[Front]) -> None:
         await asyncio.sleep(POLL_S)
@@ -194,8 +209,8 @@
     def reload(self) -> None:
         """Read the configuration anew."""
 
-    async def drain(self) -> None:
-        """Stop listening and finish what was taken."""
+    async def drain(self, told_at: float | None = None) -> None:
+        """Stop listening and finish what was taken; `told_at`: when it was told so, in the loop's seconds."""
 
     def close(self) -> None:
         """Close what is left."""
@@ -241,8 +256,11 @@
         gc.freeze()
         await stop.wait()
         ending()
-        await asyncio.sleep(STILL_LISTEN_S)
-        await program.drain()
+        # Guards against a signal that came as it was starting, or long before this turn of the loop: the time
+        # to SIGKILL runs from then.
+        told_at = loop.time() if signals.told_at is None else signals.told_at
+        await asyncio.sleep(max(0.0, told_at + STILL_LISTEN_S - loop.time()))
+        await program.drain(told_at)
     finally:
         reloads.close()
         program.close()
--- a/fordtrestle/daemon/sidecar.py
+++ b/fordtrestle/daemon/sidecar.py
@@ -64,9 +64,9 @@
             return
         self.discovery.move(told.discovery)
 
-    async def drain(self) -> None:
+    async def drain(self, told_at: float | None = None) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
-        await self._process.drain()
+        await self._process.drain(told_at)
 
     def close(self) -> None:
         """Close what is left."""
--- a/fordtrestle/engine/driver.py
+++ b/fordtrestle/engine/driver.py
@@ -98,6 +98,12 @@
         """Whether nothing taken is unanswered."""
         return self._open == 0
 
+    @property
+    def due(self) -> bool:
+        """Whether anything taken is unanswered and its time, with that to fail it, is not over."""
+        over = self._clock.now() - 2.0 * GUARD_MS
+        return any(not request.ended and request.give_up_at > over for request in self._requests.values())
+
     # --- events -----------------------------------------------------------
 
     def arrive(self, call: Call, now: float) -> OpenRequest | None:
--- a/fordtrestle/http/accept.py
+++ b/fordtrestle/http/accept.py
@@ -97,6 +97,11 @@
             self._finishing = self._loop.call_later(within_s, self.close)
             self._ready()
 
+    @property
+    def closed(self) -> bool:
+        """Whether it accepts nothing more."""
+        return self._closed
+
     def close(self) -> None:
         """Accept nothing more, and close the listening socket."""
         if not self._closed:
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -270,6 +270,11 @@
         elif not self._waiting and not self._deaf:
             self.close()
 
+    def refuse_unfinished(self) -> None:
+        """It is too late for the rest of a request of which half has come."""
+        if self._message is not None and not self._waiting:
+            self.turn_away(503)
+
     def over(self, call: ClientCall) -> None:
         """Nothing of a request is out any more."""
         self._front.over(call)
@@ -525,10 +530,11 @@
         call.answer = (status, [], f"{text}\n".encode("latin-1") if text and not head_only else b"")
         self.flush()
         if self._waiting:
-            self._clock = self._front.loop.call_later(OWED_S, self._fail_waiting)
+            self._clock = self._front.loop.call_later(OWED_S, self.fail_waiting)
 
-    def _fail_waiting(self) -> None:
-        """Fail what stands before a request that is turned away, which is owed its answer soon."""
+    def fail_waiting(self) -> None:
+        """Fail what is not answered: it stands before a request that is turned away, which is owed its answer
+        soon, or it has outlasted its time as the process ends."""
         self._untaken.clear()
         for call in list(self._waiting):
             if call.answer is not None:
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,7 +21,7 @@
 
 BACKLOG = 1024
 SWEEP_S = 0.2
-QUEUED_S = 0.2  # for what is queued as the process ends: nothing may be taken past 0.7 s after SIGTERM
+QUEUED_S = 0.5  # for accepting what is queued as the process ends; it goes on while there is any
 DISMISSED_MOST = 8  # connections closed to find a place for one
 STALLED_MS = 3000.0  # a client that takes nothing of what is written to it for so long is cut
 STUCK_MOST_MS = 10_000.0  # and one that reads on but has not read all in this time
@@ -63,6 +64,7 @@
         self.clock = clock
         self.taker = taker
         self.draining = False
+        self._last_ms = math.inf  # nothing is taken any more from then on
         self.lag = lag
         self.wake: Callable[[], object] = lag.wake  # told when a connection comes
         self.note: Callable[[ClientCall], None] | None = None  # told of each whole request
@@ -115,19 +117,36 @@
         self._names = names
         self._retry_after_ms = retry_after_ms
 
-    def stop_listening(self) -> None:
+    def stop_listening(self, taking_s: float) -> None:
         """Take no new connection but those that the machine has accepted already, and close each one once it
-        stands between requests."""
+        stands between requests; for `taking_s` more, whole requests are taken."""
         self.draining = True
+        self._last_ms = self.clock.now() + taking_s * 1000.0
         for acceptor in self._acceptors:
             acceptor.finish(QUEUED_S)
         self.close_idle()
 
     def close_idle(self) -> None:
-        """Close what stands between requests."""
+        """Close what stands between requests. A newcomer's first may be on its way, and half of one may
+        become whole: they have until no more are taken."""
+        over = self.clock.now() > self._last_ms
         for seat in self.table:
-            if seat.holder.idle:
-                seat.holder.close()
+            guest = seat.holder
+            if over and isinstance(guest, ClientConnection):
+                guest.refuse_unfinished()
+            if guest.idle and (over or not isinstance(guest, Newcomer)):
+                guest.close()
+
+    def fail_waiting(self) -> None:
+        """Answer what is not answered in its time, whatever has kept it."""
+        for seat in self.table:
+            if isinstance(seat.holder, ClientConnection):
+                seat.holder.fail_waiting()
+
+    @property
+    def accepting(self) -> bool:
+        """Whether connections are accepted still."""
+        return not all(acceptor.closed for acceptor in self._acceptors)
 
     @property
     def empty(self) -> bool:
@@ -362,6 +381,9 @@
         except BadRequest as error:
             call.answer = (error.status, [], f"{error}\n".encode())
             return
+        if self.clock.now() > self._last_ms:
+            call.refused(self._retry_after_ms)  # it could outlast this process
+            return
         if not self._has_place(call.connection) or not self._charge(call):
             call.refused(self._retry_after_ms)
             return
--- /dev/null
+++ b/tests/daemon/test_draining.py
@@ -0,0 +1,247 @@
+"""The end of a process: what is taken until when, what is told to whom, and how long it lasts at the most."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from fordtrestle.daemon import process
+from fordtrestle.daemon.signals import Signals
+from fordtrestle.http import front
+from tests.daemon.test_process import Process
+from tests.daemon.test_signals import handlers, reaped, started  # noqa: F401
+from tests.loopback import OK, PATIENCE_S, App, Scripted, Upstream, loopback, request, running, until
+
+SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+def status_of(answer):
+    return None if answer is None else int(answer.start.split(" ")[1])
+
+
+def held_until(event):
+    async def wait(reader, writer):
+        await event.wait()
+        return OK
+
+    return wait
+
+
+def queued(address, count, *sent):
+    """Clients that the machine has accepted, each with all that it sends, while the loop stands still."""
+    socks = []
+    for _ in range(count):
+        sock = socket.create_connection(tuple(address))
+        sock.sendall(b"".join(make() for make in sent))
+        sock.setblocking(False)
+        socks.append(sock)
+    return socks
+
+
+async def statuses(socks):
+    """What each is answered up to the end of its connection, which may not be a reset."""
+    loop, found = asyncio.get_running_loop(), []
+    for sock in socks:
+        got = b""
+        async with asyncio.timeout(PATIENCE_S):
+            while data := await loop.sock_recv(sock, 65536):
+                got += data
+        found.append([int(row[:3]) for row in got.split(b"HTTP/1.1 ")[1:]])
+        sock.close()
+    return found
+
+
+# --- what is taken until when --------------------------------------------------------
+
+
+@loopback
+async def test_half_of_a_request_is_told_503_once_no_more_is_taken_and_its_rest_is_dropped():
+    """Guards against work begun so late that SIGKILL finds it open, while other calls keep it going."""
+    release = asyncio.Event()
+    upstream = await Upstream([held_until(release)]).start()
+    async with running(upstream) as sidecar:
+        busy, half = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        busy.send()
+        whole = request("POST", "/pay", b"hello")
+        half.writer.write(whole[:-2])
+        await until(lambda: upstream.seen and sidecar.front._halves)
+        drain = asyncio.create_task(sidecar.drain())
+        answer = await half.answer()
+        assert (status_of(answer), answer.headers["connection"]) == (503, "close")
+        half.writer.write(whole[-2:])
+        assert await half.answer() is None
+        assert len(upstream.seen) == 1
+        release.set()
+        assert status_of(await busy.answer()) == 200
+        await drain
+
+
+@loopback
+async def test_a_request_that_is_whole_past_the_last_moment_is_refused_in_its_turn_and_not_sent_on():
+    release = asyncio.Event()
+    upstream = await Upstream([held_until(release)]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(request() + (whole := request())[:-2])
+        await until(lambda: upstream.seen)
+        drain = asyncio.create_task(sidecar.drain())
+        await asyncio.sleep(process.STILL_TAKE_S - process.STILL_LISTEN_S + 3 * process.POLL_S)
+        app.writer.write(whole[-2:])
+        await until(lambda: any(len(seat.holder._waiting) == 2 for seat in sidecar.front.table))
+        release.set()
+        assert [status_of(await app.answer()) for _ in range(2)] == [200, 503]
+        await drain
+        assert len(upstream.seen) == 1
+
+
+@pytest.mark.parametrize("before", [0, 20])
+@loopback
+async def test_what_is_whole_in_time_gets_its_answer_however_long_the_server_takes(before, monkeypatch):
+    """Guards against an end that follows the last answer before it by LAST_BYTES_S: a newcomer whose first
+    bytes come as the drain has begun, and half of a request that becomes whole then."""
+    monkeypatch.setattr(process, "STILL_TAKE_S", PATIENCE_S)
+    release = asyncio.Event()
+    upstream = await Upstream([held_until(release)]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        whole = request("POST", "/pay", b"hello")
+        app.writer.write(whole[:before])
+        await until(lambda: len(sidecar.front.table) == 1 and (not before or sidecar.front._halves))
+        drain = asyncio.create_task(sidecar.drain())
+        await asyncio.sleep(0)  # it stands in its first wait
+        app.writer.write(whole[before:])
+        await until(lambda: upstream.seen)
+        await asyncio.sleep(2 * process.LAST_BYTES_S)
+        assert not drain.done()
+        release.set()
+        assert status_of(await app.answer()) == 200
+        await drain
+
+
+@loopback
+async def test_a_newcomer_that_never_asks_does_not_keep_a_process_from_ending():
+    async with running() as sidecar:
+        silent = await App.connect(sidecar.address)
+        await until(lambda: len(sidecar.front.table) == 1)
+        await asyncio.wait_for(sidecar.drain(), PATIENCE_S)
+        assert await silent.answer() is None
+        assert sidecar.front.empty
+
+
+@loopback
+async def test_what_the_machine_has_accepted_is_told_so_where_it_is_too_late_to_take_it(monkeypatch):
+    """As after a start or a stall that outlasted the time to end: a reset would tell the client nothing."""
+    monkeypatch.setattr(front, "QUEUED_S", PATIENCE_S)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        socks = queued(sidecar.address, 60, request)
+        now = asyncio.get_running_loop().time()
+        drain = asyncio.create_task(sidecar.drain(now - process.STILL_TAKE_S))
+        assert await statuses(socks) == [[503]] * 60
+        await drain
+        assert not upstream.seen
+
+
+# --- how long it lasts ------------------------------------------------------------------
+
+
+@loopback
+async def test_a_request_that_is_forgotten_and_its_guard_with_it_is_failed_past_its_time():
+    """Guards against a drain with no bound of its own."""
+    module = Scripted(request=lambda now, arrival: [])
+    async with running(balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send(X_Budget="300m")
+        await until(lambda: module.named("request"))
+        for request_ in sidecar.driver._requests.values():
+            request_.guard.cancel()
+        await asyncio.wait_for(sidecar.drain(), PATIENCE_S)
+        answer = await app.answer()
+        assert (status_of(answer), answer.headers["connection"]) == (502, "close")
+        assert sidecar.driver.idle
+
+
+# --- signals ------------------------------------------------------------------------------
+
+
+class Counting:
+    """A program that notes what it is told, and tells the signals that come as it starts."""
+
+    def __init__(self, signals, *numbers, late_s=0.0):
+        self.told = []
+        self._signals = signals
+        self._numbers = numbers
+        self._late_s = late_s
+
+    async def start(self):
+        for number in self._numbers:
+            signal.raise_signal(number)
+        self._signals.told_at -= self._late_s  # as if the start took so long
+
+    def reload(self):
+        self.told.append("reload")
+
+    async def drain(self, told_at=None):
+        self.told.append(told_at)
+
+    def close(self):
+        self.told.append("close")
+
+    def unsettled(self):
+        return []
+
+
+@loopback
+async def test_signals_that_come_as_it_starts_are_seen_to_and_the_time_to_end_runs_from_the_first(
+    handlers,  # noqa: F811
+    monkeypatch,
+):
+    """Guards against listening on for a time that was over before it listened: SIGKILL comes by then."""
+    monkeypatch.setattr(process, "STILL_LISTEN_S", 3600.0)
+    signals = Signals()
+    signals.install()
+    numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+    program = Counting(signals, *numbers, late_s=3600.0)
+    before = time.monotonic()
+    await asyncio.wait_for(process.run(lambda loop: program, signals), PATIENCE_S)
+    told, told_at, closed = program.told
+    assert (told, closed) == ("reload", "close")
+    assert before - 3600.0 <= told_at <= time.monotonic() - 3600.0
+
+
+def catches(pid, number):
+    """Whether a process handles a signal by now (proc(5))."""
+    rows = Path(f"/proc/{pid}/status").read_text().splitlines()
+    caught = next(row for row in rows if row.startswith("SigCgt:"))
+    return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
+
+
+@loopback
+async def test_sigterm_as_it_starts_ends_it_in_order(tmp_path, reaped, monkeypatch):  # noqa: F811
+    """Before it listens: from the first moment in which it handles signals."""
+    made = await started(tmp_path, wait=False)
+    reaped.append(made)
+    await until(lambda: catches(made.pid, signal.SIGTERM) and catches(made.pid, signal.SIGHUP))
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        made.send_signal(number)
+    await until(lambda: made.poll() is not None)
+    assert made.returncode == 0
+    assert (tmp_path / "log").read_text() == ""
+
+
+@loopback
+async def test_what_was_queued_while_it_stood_still_is_answered_as_signals_come_with_it(tmp_path):
+    upstream = await Upstream([SERVED]).start()
+    made = await Process.start(tmp_path, upstream)
+    made.process.send_signal(signal.SIGSTOP)
+    socks = await asyncio.to_thread(queued, made.address, 60, request)
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGCONT):
+        made.process.send_signal(number)
+    assert set(map(tuple, await statuses(socks))) <= {(200,), (503,)}
+    assert await made.process.wait() == 0
+    upstream.stop()
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -20,8 +20,9 @@
 MANY = 6000  # servers in the file: reading it anew takes long enough to be signalled meanwhile
 
 
-async def started(tmp_path, servers=0):
-    """The sidecar in a process of its own, once it takes connections; its log goes to a file."""
+async def started(tmp_path, servers=0, wait=True):
+    """The sidecar in a process of its own, once it takes connections unless told not to wait for that; its
+    log goes to a file."""
     port = free_port()
     rows = [entry(f"s{i}", f"127.{i // 200 % 200}.{i % 200}.1:9") for i in range(servers)]
     env = environment(tmp_path, listen=f"127.0.0.1:{port}", known=listed(1, *rows))
@@ -40,7 +41,7 @@
         return answer is not None
 
     until_s = time.monotonic() + PATIENCE_S
-    while not await answers():
+    while wait and not await answers():
         assert process.poll() is None and time.monotonic() < until_s
     return process
 
