Shut a slow reader's connection behind its last byte where an error is caught

Seen: where the last answer does not fit the kernel, asyncio's transport shuts the socket by itself in its write callback, behind the last byte; a client that resets just then makes shutdown() fail with ENOTCONN, and the error leaves the callback (a traceback in the log). stream.py `end` guards only the shutdown that is made at once.

Now `end` comes only once nothing is unsent: from `resume_writing`, one turn later, since the loop looks at it again behind that call.

Test: test_closing.py, a client that resets in the call of shutdown(), red without. Ruled out: a last answer that does not fit is cut by LINGER_S (it starts anew while anything is unsent).

--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -213,6 +213,7 @@
         self._deaf = False  # nothing more is read as a request
         self._stuck = False  # its client does not read what is written
         self._lost = False
+        self._ended = False  # nothing more is written
         self._written = 0  # bytes of answers
         self.held = 0  # bytes in the front's book
 
@@ -326,6 +327,9 @@
     def resume_writing(self) -> None:
         """It has read them."""
         self._stuck = False
+        if self._ended:
+            # Later: guards against the loop's own shutdown just behind this, whose error nobody catches.
+            self._front.loop.call_soon(stream.end, self._transport)
         self._front.flowing(self)
         self._account()
         self._take_more()
@@ -555,7 +559,9 @@
         self._front.table.turn_away(self.seat, self._front.clock.now())
         self._stop_clock()
         self._untaken.clear()
-        stream.end(self._transport)
+        self._ended = True
+        if not self._stuck:  # else behind its last byte
+            stream.end(self._transport)
         self._read_on(True)
         self._clock = self._front.loop.call_later(LINGER_S, self._lingered)
 
--- a/fordtrestle/http/stream.py
+++ b/fordtrestle/http/stream.py
@@ -175,7 +175,7 @@
             transport.write(bytes(self.kept))
         if self.paused:
             transport.pause_reading()
-        if self.ended:
+        if self.ended and not transport.get_write_buffer_size():  # else its connection does, behind the last
             end(transport)
 
 
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+import struct
 
 import pytest
 
@@ -185,3 +187,32 @@
         assert all(delays)
         for sock in socks:
             sock.close()
+
+
+@loopback
+async def test_a_reset_as_the_last_of_a_slow_readers_answer_is_written_raises_nothing(monkeypatch):
+    """Guards against an error that leaves a callback of the loop: it shuts by itself what it has written."""
+    raised = []
+    asyncio.get_running_loop().set_exception_handler(lambda loop, told: raised.append(told))
+    monkeypatch.setattr(front_module, "SEND_BUFFER", 4096)
+    upstream = await Upstream([LARGE]).start()
+    async with running(upstream) as sidecar:
+        sock = await client(sidecar.address, kernel=4096)
+        await asyncio.get_running_loop().sock_sendall(sock, request(Connection="close"))
+        await until(lambda: sidecar.front._stuck)
+        plain, shut = socket.socket.shutdown, []
+
+        def reset_first(other, how):
+            if not shut:
+                shut.append(how)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+            return plain(other, how)
+
+        monkeypatch.setattr(socket.socket, "shutdown", reset_first)
+        while not shut:
+            with contextlib.suppress(BlockingIOError):
+                sock.recv(65536)
+            await asyncio.sleep(0)
+        await until(lambda: sidecar.front.empty)
+        assert [told for told in raised if isinstance(told.get("exception"), OSError)] == []
