Test the close for another's place and the drain beside a client that never reads

No fault seen. A request that crosses an eviction (newcomer or at rest, which must free its descriptor at once) is not sent on, and leaves nothing in the books; an answer that its client does not take is cut LAST_BYTES_S past the last answer, and the drain ends.

--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -166,6 +166,25 @@
         assert sidecar.driver.idle
 
 
+@loopback
+async def test_a_client_that_does_not_read_its_answer_does_not_keep_a_process_from_ending(monkeypatch):
+    """What it has not taken LAST_BYTES_S past the last answer is cut, and nothing stays in the books."""
+    monkeypatch.setattr(front, "SEND_BUFFER", 4096)
+    large = b"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + b"x" * 65536
+    upstream = await Upstream([large]).start()
+    async with running(upstream) as sidecar:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, tuple(sidecar.address))
+        await loop.sock_sendall(sock, request())
+        await until(lambda: sidecar.front._stuck)
+        await asyncio.wait_for(sidecar.drain(), PATIENCE_S)
+        assert sidecar.front.empty and sidecar.limits.buffered.held == 0
+        sock.close()
+
+
 # --- signals ------------------------------------------------------------------------------
 
 
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -216,3 +216,25 @@
             await asyncio.sleep(0)
         await until(lambda: sidecar.front.empty)
         assert [told for told in raised if isinstance(told.get("exception"), OSError)] == []
+
+
+@pytest.mark.parametrize("asked_before", [False, True])
+@loopback
+async def test_a_request_that_crosses_a_close_for_anothers_place_is_not_sent_on(asked_before, monkeypatch):
+    """Closed outright, since its descriptor is needed: it held nothing, and its client sends once more."""
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        sock = await client(sidecar.address)
+        if asked_before:
+            await asked(sock, request())
+        await until(lambda: len(sidecar.front.table) == 1)
+        await until(lambda: sidecar.front.table.at_rest == asked_before)
+        crossing = Crossing(monkeypatch, sock, request())
+        sidecar.front.out_of_descriptors()
+        with contextlib.suppress(ConnectionResetError):
+            assert await to_the_end(sock) == b""
+        sock.close()
+        assert crossing.crossed == ["close"]
+        await until(lambda: sidecar.front.empty)
+        assert len(upstream.seen) == asked_before
+        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._seated
