Test the ends of attempts and of requests that cross in the driver

Late outcomes of attempts given up, a time-out and a guard in the turn of the answer in both orders, a send behind the final answer in one batch, and what would be written for a request that has ended meanwhile.

--- a/tests/engine/test_driver.py
+++ b/tests/engine/test_driver.py
@@ -1,4 +1,4 @@
-"""Settings that change whole, between two requests, and a module that does not take them."""
+"""Settings that change whole, and ends of attempts and of requests that cross."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 
 from fordtrestle.engine.clock import Clock
 from fordtrestle.engine.driver import Driver, EngineOptions
-from fordtrestle.engine.ports import Result
+from fordtrestle.engine.ports import Answer, Result
 from poppypulley import model
-from poppypulley.model import CloseIdle, Outcome
+from poppypulley.model import CloseIdle, Fail, Outcome, Refuse, Send
 from tests.engine.test_watched import Call, Loop, Servers, arrive, driver, retried
 from tests.loopback import SETTINGS
 
@@ -81,3 +81,87 @@
     servers.done[0](Result(Outcome.CONNECT_FAILED))
     assert call.answers == ["refused"] and len(servers.done) == 1 and made.idle
     assert request.id not in made._requests
+
+
+# --- ends that cross --------------------------------------------------------------------
+
+OK = Result(Outcome.OK, Answer([], b"done"))
+
+
+class Served(Call):
+    """A call that counts its answers, the servers' too."""
+
+    def served(self, answer):
+        self.answers.append(answer.body)
+
+
+class Asked(Closing):
+    """Servers that keep what would be written."""
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def send(self, server, message, expires, done):
+        self.messages.append(message)
+        return super().send(server, message, expires, done)
+
+
+def crossing(**scripts):
+    made = driver(most=9, **scripts)
+    made.servers = made._upstreams = Asked()
+    return made
+
+
+def due(made, method):
+    """Call the timers of one method, whether or not they were cancelled: as if they were in this turn."""
+    for callback, *args in list(made.loop.later):
+        if callback == method:
+            callback(*args)
+
+
+def test_an_outcome_that_comes_after_its_attempt_was_given_up_is_none():
+    made = crossing(outcome=lambda now, number, *rest: [Fail(number)])
+    call = arrive(made, Served("c1"))
+    due(made, made._expire)
+    made.servers.done[0](OK)
+    assert [status for _, status, _ in made._balancer.outcomes()] == [Outcome.TIMEOUT]
+    assert call.answers == ["failed"] and made.idle and not made._requests
+
+
+def test_a_time_out_and_a_guard_in_the_turn_of_the_answer_change_nothing():
+    made = crossing()
+    call = arrive(made, Served("c1"))
+    made.servers.done[0](OK)
+    due(made, made._expire)
+    due(made, made._overdue)
+    assert [status for _, status, _ in made._balancer.outcomes()] == [Outcome.OK]
+    assert made._balancer.named("client_gone") == [] and call.answers == [b"done"]
+
+
+def test_an_answer_in_the_turn_of_the_guard_comes_too_late(capsys):
+    made = crossing()
+    call = arrive(made, Served("c1"))
+    due(made, made._overdue)
+    made.servers.done[0](OK)
+    assert call.answers == ["failed"] and made._balancer.outcomes() == [(0, Outcome.OK, True)]
+    assert not made._requests and made._open == 0
+
+
+def test_what_is_sent_behind_the_answer_in_one_batch_is_not_sent():
+    made = crossing(
+        request=lambda now, arrival: [Refuse(arrival.request, 0.0), Send(arrival.request, "s0", 0.0)]
+    )
+    call = arrive(made, Served("c1"))
+    due(made, made._outcome)
+    assert made.servers.done == [] and made._balancer.outcomes() == [(0, Outcome.MOOT, True)]
+    assert call.answers == ["refused"] and not made._requests
+
+
+def test_nothing_is_written_for_a_request_that_ended_while_its_attempt_waited_for_a_connection():
+    made = crossing()
+    request = made.arrive(Served("c1"), made._clock.now())
+    (message,) = made.servers.messages
+    assert message(100.0) == b""
+    made.client_gone(request)
+    assert message(100.0) is None
