Bound each step of a call to discovery, and let a call that is ended tell nothing more

Seen (membership/registry.py, in virtual time over real sockets): with 6 s allowed from "discovery can be reached" to "list taken in", - a dial that hung was given up after 4.5 s, then came a wait of up to 3 s (`_keep_watch`), after a move once more 5 s for a whole list (`_list`); - `Channel.heard_at` moved with any byte: a head, or half a line that came bit by bit, kept a dead watch open for good; - `_keep_watch` took its shortest wait again after any byte: a server whose each watch began with a spoilt line was asked ten times a second, with a line in the log each time; - `move`, `watch(False)` and `close` cancelled tasks, which closes the connection a turn later: bytes read in between were told, and after a move the old place's version stood, for which the new one's whole list was older for good; the same where the news themselves made their hearer move; - a dial that came up in the turn in which it was given up asked all the same; - a spoilt line set the version held to 0, so that an older list, asked for meanwhile, was taken in over it; - a whole list that never ends was taken in without bound (857 MB in 5 s), and a line in pieces of one byte was searched anew for each (14 s for 720 kB); - a machine's name that is none ended an asked watch without "refused".

Change: bounds of their own for the dial, the first whole line (or the whole list), the silence between whole lines and the wait, jitter included; the sums stand in the module's docstring. Each call owns its connection (`Call`), which is closed at once when the call is ended; the question is put by who dialled. What is held and what is asked from are two things. Faults within 10 s of one another are one line in the log, and a watch has to live for 10 s before the wait begins anew.

Ruled out: a list complete in the turn of a move, a watch that breaks in the turn in which it is ended, and moves in a row while a dial hangs were right; their tests stay. A lack of descriptors at a dial is an OSError like another.

--- a/fordtrestle/membership/registry.py
+++ b/fordtrestle/membership/registry.py
@@ -1,12 +1,30 @@
-"""Discovery: a watch that is kept up, and whole lists on demand."""
+"""Discovery: a watch that is kept up, and whole lists on demand.
+
+A change has to be taken in 6 s after discovery had it and could be reached, also by who just then had a
+call under way that will never be answered, and 6 s after a watch fell silent. The bounds, in seconds; what
+is left of the 6 (1 at the least) is for the call that succeeds, which is answered at once:
+
+| what stands in the way                        | pushed                   | asked                   |
+| --------------------------------------------- | ------------------------ | ----------------------- |
+| a dial that never comes up, then the wait     | 1.25 + 1.0        = 2.25 | 1.25 + 1.5       = 2.75 |
+| the same, and 2 s in discovery's queue        |                          | 1.25 + 1.5 + 2.0 = 4.75 |
+| a call that is never answered, then the wait  | 2.75 + 1.0        = 3.75 | 2.75 + 1.5       = 4.25 |
+| a dial that comes up late and is not answered | 1.25 + 2.75 + 1.0 = 5.0  |                         |
+| a watch silent since its last whole line      | 3.5 + 1.0         = 4.5  | 3.5 + 1.5        = 5.0  |
+
+The waits are `BACKOFF_MOST_S` and, where discovery is asked, what the decision module takes to ask again.
+There a call that comes up at last stands in discovery's queue, and has 2 s more from when that wait is over.
+After a move the whole list is asked for first, within the same bounds, and the watch begins as it is told.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import httptools
 
@@ -15,45 +33,63 @@
 from fordtrestle.membership.lists import Places, parse_list
 
 PATH = "/registry/instances"
-# An empty line comes every 2 s: a connection that misses two of them is broken.
-SILENT_S = 4.5
-FETCH_S = 5.0
-LINE_MOST = 4 * 1024 * 1024
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+DIAL_S = 1.25  # the system sends a lost first packet again after 1 s
+# From when the connection is up to the first whole line, or to the end of a whole list: where discovery
+# is asked, a call may wait for 2 s, and a watch that has no news may begin with its heartbeat.
+ANSWER_S = 2.75
+HEARTBEAT_S = 2.0  # an empty line comes as often
+SILENT_S = HEARTBEAT_S + 1.5  # a connection that misses one, by so much, is broken
+# The longest wait, jitter included: 200 processes that find nobody there dial 270 times a second.
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
+WELL_S = 10.0  # a watch that lived for so long begins anew with the shortest wait; faults this near are one
+LINE_MOST = LIST_MOST = 4 * 1024 * 1024
+LOGGED_MOST = 200  # of the words for a fault, which may hold what discovery sent
 NO_LIST = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError)
 
 News = Callable[[str, ServerList | None], None]
 
 
 class Channel(asyncio.Protocol):
-    """One connection to discovery: its answer is cut into lines as it comes."""
+    """One connection to discovery: its answer is cut into lines as it comes.
+
+    Only whole lines, empty ones too, show that it lives: a head or half a line may be all that ever comes.
+    `fault`: what was wrong with the answer. Once `broken` is done, nothing more is taken in or passed on."""
 
-    def __init__(self, request: bytes, on_line: Callable[[bytes], None]) -> None:
-        self._request = request
+    def __init__(self, on_line: Callable[[bytes], None]) -> None:
         self._on_line = on_line
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()
-        self._status = 0
         self._transport: asyncio.Transport
         self._loop = asyncio.get_running_loop()
-        self.heard = False
-        self.heard_at = self._loop.time()
+        self._heard = False
+        self.begun_at = self.heard_at = self._loop.time()
         self.broken = self._loop.create_future()
         self.complete = False
+        self.fault = ""
+
+    @property
+    def due_at(self) -> float:
+        """When the next whole line has to have come."""
+        return self.heard_at + (SILENT_S if self._heard else ANSWER_S)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask."""
+        """It is up; who dialled asks, if it is still wanted."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.write(self._request)
+
+    def ask(self, request: bytes) -> None:
+        """Put the one question."""
+        self.begun_at = self.heard_at = self._loop.time()
+        self._transport.write(request)
 
     def data_received(self, data: bytes) -> None:
         """A part of the answer; what is no HTTP, no list or refused ends the connection."""
-        self.heard, self.heard_at = True, self._loop.time()
+        if self.broken.done():
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            log(f"discovery: {error.__context__ or error}")
+            self.fault = str(error.__context__ or error)
             self.close()
 
     def eof_received(self) -> bool:
@@ -77,17 +113,20 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self._status = self._parser.get_status_code()
-        if self._status != 200:
-            raise ValueError(f"status {self._status}")
+        status = self._parser.get_status_code()
+        if status != 200:
+            raise ValueError(f"status {status}")
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser: whole lines are passed on, empty ones show only that it lives."""
         self._buffer += data
         if len(self._buffer) > LINE_MOST:
             raise ValueError("a line is too long")
+        if b"\n" not in data:  # guards against searching a long line anew for each byte of it
+            return
         *whole, rest = self._buffer.split(b"\n")
         self._buffer = rest
+        self._heard, self.heard_at = True, self._loop.time()
         for line in whole:
             self._take(line)
 
@@ -103,6 +142,32 @@
             self._on_line(bytes(line))
 
 
+class Call:
+    """What one asker has under way: its task, and the connection that it has open.
+
+    Guards against news that are in hand when they are no longer wanted: from `end` on, its connection
+    passes nothing on, and the task neither dials nor tells."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, run: Callable[[Call], Coroutine[Any, Any, None]]
+    ) -> None:
+        self.ended = False
+        self.channel: Channel | None = None
+        self._task = loop.create_task(run(self))
+
+    def end(self) -> None:
+        """Close its connection, and tell nothing more."""
+        self.ended = True
+        self.close()
+        self._task.cancel()
+
+    def close(self) -> None:
+        """Close its connection, if it has one."""
+        if self.channel is not None:
+            self.channel.close()
+            self.channel = None
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryOptions:
     """Where discovery is, how it talks, and the list as last held."""
@@ -130,30 +195,31 @@
         self._version = options.known.version
         self._known = options.known
         self._rng = random.Random(options.seed)
-        self._watching: asyncio.Task[None] | None = None
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._watching: Call | None = None
+        self._fetches: set[Call] = set()
         self._moved = False  # until the new place has told its whole list
+        self._spoilt = False  # a line was: what it said is not known, so the next watch asks for everything
+        self._fault_at = -WELL_S  # when discovery was last at fault
         self._closed = False
 
     def start(self) -> None:
         """Tell of the list as last held, then watch if lists are pushed."""
         self._news("remembered", self._known)
         if self._pushed:
-            self._watching = self._loop.create_task(self._keep_watch())
+            self._watching = Call(self._loop, self._keep_watch)
 
     def watch(self, on: bool) -> None:
         """The module asks for changes, or for no more of them."""
-        if self._pushed:
+        if self._pushed or self._closed:
             return
         if self._watching is not None:
-            self._watching.cancel()
-        self._watching = self._loop.create_task(self._watch_once()) if on else None
+            self._watching.end()
+        self._watching = Call(self._loop, self._watch_once) if on else None
 
     def fetch(self) -> None:
         """The module asks for the whole list once."""
-        task = self._loop.create_task(self._fetch())
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
+        if not self._closed:
+            self._fetches.add(Call(self._loop, self._fetch))
 
     def move(self, address: Address) -> None:
         """Ask at another place from now on, and at once: what is under way is begun again there.
@@ -162,96 +228,112 @@
         if self._closed or address == self._address:
             return
         log(f"discovery: moves to {address.host}:{address.port}")
-        self._address, self._version, self._moved = address, 0, True
+        self._address, self._version, self._moved, self._spoilt = address, 0, True, False
         if self._watching is not None:
-            self._watching.cancel()
-            again = self._keep_watch() if self._pushed else self._watch_once()
-            self._watching = self._loop.create_task(again)
-        for task in list(self._fetches):
-            task.cancel()
+            self._watching.end()
+            self._watching = Call(self._loop, self._keep_watch if self._pushed else self._watch_once)
+        for call in list(self._fetches):
+            self._fetches.discard(call)
+            call.end()
             self.fetch()
 
     def close(self) -> None:
         """Stop asking."""
         self._closed = True
-        for task in (*self._fetches, *([self._watching] if self._watching else [])):
-            task.cancel()
+        for call in (*self._fetches, *([self._watching] if self._watching else [])):
+            call.end()
 
-    async def _keep_watch(self) -> None:
-        """Watch for as long as this process runs; wait longer after each failure in a row."""
+    async def _keep_watch(self, call: Call) -> None:
+        """Watch for as long as this process runs; wait longer after each watch in a row that was short."""
         wait = BACKOFF_S
         while True:
-            try:
-                if await self._watch():
-                    wait = BACKOFF_S
-            except Exception as error:  # a dead watch would go on sending to servers that drain
-                log(f"discovery: {error!r}")
-            await asyncio.sleep(wait * (0.5 + self._rng.random()))
+            if await self._watch(call) >= WELL_S:
+                wait = BACKOFF_S
+            await asyncio.sleep(wait * (0.5 + 0.5 * self._rng.random()))
             wait = min(2.0 * wait, BACKOFF_MOST_S)
 
-    async def _watch_once(self) -> None:
-        await self._watch()
-        self._watching = None
-        self._news("refused", None)
+    async def _watch_once(self, call: Call) -> None:
+        await self._watch(call)
+        if not call.ended:
+            self._watching = None
+            self._news("refused", None)
 
-    async def _watch(self) -> bool:
-        """Watch until the connection ends or falls silent; whether anything came."""
+    async def _watch(self, call: Call) -> float:
+        """Watch until the connection ends or falls silent; for how many seconds it was seen to live."""
+        try:
+            return await self._watch_here(call)
+        except Exception as error:  # a dead watch would go on sending to servers that drain
+            self._fault(repr(error))
+            return 0.0
+        finally:
+            call.close()
+
+    async def _watch_here(self, call: Call) -> float:
         if self._moved:
-            news = await self._list()
+            news = await self._list(call)
             if news is None:
-                return False
-            self._moved = False
+                return 0.0
             self._tell("all", news)
-        channel = await self._open(f"{PATH}?watch=1&from={self._version}", self._changed, SILENT_S)
+        since = 0 if self._spoilt else self._version
+        channel = await self._open(call, f"{PATH}?watch=1&from={since}", self._changed)
         if channel is None:
-            return False
+            return 0.0
+        # Guards against a machine that is cut off: its connections stay open and silent.
+        while not channel.broken.done() and (left := channel.due_at - self._loop.time()) > 0.0:
+            await asyncio.wait((channel.broken,), timeout=left)
+        if channel.fault:
+            self._fault(channel.fault)
+        return channel.heard_at - channel.begun_at
+
+    async def _fetch(self, call: Call) -> None:
         try:
-            # Guards against a machine that is cut off: its connections stay open and silent.
-            while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
-                await asyncio.wait((channel.broken,), timeout=left)
-                if channel.broken.done():
-                    break
+            news = await self._list(call)
         finally:
-            channel.close()
-        return channel.heard
-
-    async def _fetch(self) -> None:
-        news = await self._list()
+            self._fetches.discard(call)
         if news is None:
             self._news("refused", None)
         else:
             self._tell("all", news)
 
-    async def _list(self) -> ServerList | None:
+    async def _list(self, call: Call) -> ServerList | None:
         """The whole list, or None where the call fails."""
-        got: list[bytes] = []
-        channel = await self._open(PATH, got.append, FETCH_S)
-        if channel is not None:
-            try:
-                await asyncio.wait((channel.broken,), timeout=FETCH_S)
-            finally:
-                channel.close()
+        got = bytearray()
+
+        def take(line: bytes) -> None:
+            got.extend(line + b"\n")
+            if len(got) > LIST_MOST:
+                raise ValueError("the list is too long")
+
+        channel = await self._open(call, PATH, take)
         try:
+            if channel is not None:
+                await asyncio.wait((channel.broken,), timeout=ANSWER_S)
             if channel is None or not channel.complete:
-                raise ValueError("the call failed")
-            news = parse_list(json.loads(b"\n".join(got)), self._places)
+                raise ValueError((channel and channel.fault) or "the call failed")
+            news = parse_list(json.loads(got), self._places)
             if news.version < self._version:
                 raise ValueError("the list is older than the one held")
         except NO_LIST as error:
-            log(f"discovery: {error}")
+            self._fault(str(error))
             return None
+        finally:
+            call.close()
         return news
 
-    async def _open(self, target: str, on_line: Callable[[bytes], None], limit: float) -> Channel | None:
+    async def _open(self, call: Call, target: str, on_line: Callable[[bytes], None]) -> Channel | None:
+        """Dial and ask; None where it does not come up, or is no longer wanted."""
+        if call.ended:
+            return None
         host = f"{self._address.host}:{self._address.port}"
-        request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(DIAL_S):
                 _, channel = await self._loop.create_connection(
-                    lambda: Channel(request, on_line), self._address.host, self._address.port
+                    lambda: Channel(on_line), self._address.host, self._address.port
                 )
-        except OSError:
+        except (OSError, ValueError):  # nobody there, no descriptor is left, or no name of a machine
             return None
+        call.channel = channel
+        channel.ask(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return channel
 
     def _changed(self, line: bytes) -> None:
@@ -259,7 +341,7 @@
         try:
             news = parse_list(json.loads(line), self._places)
         except NO_LIST as error:
-            self._version = 0
+            self._spoilt = True
             raise ValueError(f"not a list: {error}") from error
         if news.whole:
             self._tell("all", news)
@@ -269,5 +351,14 @@
         # Older changes were told already: by a list asked for meanwhile.
 
     def _tell(self, form: str, news: ServerList) -> None:
-        self._version = news.version
+        self._version, self._spoilt = news.version, False
+        if form == "all":
+            self._moved = False
         self._news(form, news)
+
+    def _fault(self, what: str) -> None:
+        """A line in the log at the first of faults that come one soon after the other."""
+        now = self._loop.time()
+        if now - self._fault_at >= WELL_S:
+            log(f"discovery: {what[:LOGGED_MOST]}")
+        self._fault_at = now
