Take no index that none can follow, and no changes for a whole list

Change: such a line is none.

Test: three cases in tests/membership/test_crossings.py, red without it.

--- a/fordtrestle/membership/lists.py
+++ b/fordtrestle/membership/lists.py
@@ -11,6 +11,7 @@
 from poppypulley import model
 
 STATES = frozenset(("active", "leaving", "left"))
+VERSION_MOST = 2**63 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,13 +24,17 @@
 
 def parse_list(raw: Any, places: Places) -> ServerList:
     """Read discovery's form of a list; `ValueError`, `KeyError` or `TypeError` if it is none."""
+    version, whole = int(raw["index"]), raw.get("snapshot") or False
+    # Guards against a line for which all others would be older, and against changes read as a whole list.
+    if not 0 <= version <= VERSION_MOST or not isinstance(whole, bool):
+        raise ValueError(f"index {version!r} or snapshot {whole!r} is none")
     entries, addresses = [], {}
     for row in raw["endpoints"]:
         entry = _listing(row, places)
         entries.append(entry)
         if row.get("address"):
             addresses[entry.server] = parse_address(row["address"])
-    return ServerList(int(raw["index"]), bool(raw.get("snapshot")), entries, addresses)
+    return ServerList(version, whole, entries, addresses)
 
 
 def _listing(row: Mapping[str, Any], places: Places) -> model.Listing:
--- a/tests/membership/test_crossings.py
+++ b/tests/membership/test_crossings.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 import pytest
 
 from fordtrestle.engine.ports import parse_address
-from fordtrestle.membership import registry
+from fordtrestle.membership import lists, registry
 from tests.loopback import Registry, entry, listed
 from tests.membership.standin import HEAD, Outage, Told, asking, chunk, line
 from tests.virtual import virtual
@@ -272,7 +273,10 @@
     "no JSON": answer(b"{,\n"),
     "no list": answer(b'{"index":44,"endpoints":7}\n'),
     "no entry": answer(b'{"index":44,"endpoints":[[7]]}\n'),
+    "an index below 0": answer(b'{"index":-5,"endpoints":[]}\n'),
+    "an index that none can follow": answer(b'{"index":1e300,"endpoints":[]}\n'),
     "an index that is none": answer(b'{"index":1e999,"endpoints":[]}\n'),
+    "changes that look whole": answer(b'{"index":44,"snapshot":"false","endpoints":[]}\n'),
     "no state": answer(b'{"index":44,"endpoints":[{"name":"a","status":["%b"]}]}\n' % (b"x" * 10_000)),
     "too deep": answer(b"[" * 100_000 + b"\n"),
     "too long": answer(b"[" * (5 * 1024 * 1024)),
@@ -348,3 +352,10 @@
     assert time.process_time() - began < 5.0  # some 0.1 s; 25 s where each piece is sought in all before it
     discovery.close()
     only.stop()
+
+
+def test_a_list_may_come_indented_and_say_nothing_of_being_whole():
+    news = lists.parse_list(
+        json.loads('{"index": 7,\n "snapshot": null, "endpoints": []}'), lists.Places({}, {})
+    )
+    assert (news.version, news.whole) == (7, False)
