--- a/tests/membership/standin.py
+++ b/tests/membership/standin.py
@@ -68,6 +68,7 @@
     def __init__(self, how, index=50, queue_s=0.0):
         self.how = how
         self.index = index
+        self.whole = line(index, "new", snapshot=True)
         self.queue_s = queue_s
         self.asked = []  # when, and for what
         self.first = asyncio.Event()  # question
@@ -116,7 +117,7 @@
 
     async def _well(self, reader, writer, watch):
         await asyncio.sleep(self.queue_s)
-        news = line(self.index, "new", snapshot=True)
+        news = self.whole
         if not watch:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(news), news))
         else:
