Take in lists that come indented on a watch, and half a list for no sign of life

On a watch each line was read as a whole list (Channel.on_body, Discovery._changed): "{" ended the watch, the next one began with the whole list, indented again, and nothing was ever told. A whole list asked for by itself was read right.

Half a list does not count as life.

--- a/fordtrestle/membership/registry.py
+++ b/fordtrestle/membership/registry.py
@@ -52,10 +52,11 @@
 class Channel(asyncio.Protocol):
     """One connection to discovery: its answer is cut into lines as it comes.
 
-    Only whole lines, empty ones too, show that it lives: a head or half a line may be all that ever comes.
+    `on_line` says whether a line, empty ones too, shows that it lives: a head, half a line or half a list may
+    be all that ever comes.
     `fault`: what was wrong with the answer. Once `broken` is done, nothing more is taken in or passed on."""
 
-    def __init__(self, on_line: Callable[[bytes], None]) -> None:
+    def __init__(self, on_line: Callable[[bytes], bool]) -> None:
         self._on_line = on_line
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()
@@ -118,7 +119,7 @@
             raise ValueError(f"status {status}")
 
     def on_body(self, data: bytes) -> None:
-        """Called by the parser: whole lines are passed on, empty ones show only that it lives."""
+        """Called by the parser: whole lines are passed on."""
         self._buffer += data
         if len(self._buffer) > LINE_MOST:
             raise ValueError("a line is too long")
@@ -126,7 +127,6 @@
             return
         *whole, rest = self._buffer.split(b"\n")
         self._buffer = rest
-        self._heard, self.heard_at = True, self._loop.time()
         for line in whole:
             self._take(line)
 
@@ -138,8 +138,35 @@
         self._done()
 
     def _take(self, line: bytearray) -> None:
-        if line.strip() and not self.broken.done():
-            self._on_line(bytes(line))
+        if not self.broken.done() and self._on_line(bytes(line)):
+            self._heard, self.heard_at = True, self._loop.time()
+
+
+class Lists:
+    """The lists of a watch, put together from its lines: one a line, or indented over several.
+
+    `on_list` is called with the text of each."""
+
+    def __init__(self, on_list: Callable[[bytes], None]) -> None:
+        self._on_list = on_list
+        self._kept = bytearray()
+        self._depth = 0  # of braces; those in a name are counted, too, and then the list is half for good
+
+    def take(self, line: bytes) -> bool:
+        """Take in a line; whether it is a heartbeat or ends a list. `ValueError` where a list can't end."""
+        if not line.strip():
+            if self._kept:
+                raise ValueError("a heartbeat within a list")
+            return True
+        self._kept += line + b"\n"
+        if len(self._kept) > LIST_MOST:
+            raise ValueError("the list is too long")
+        self._depth += line.count(b"{") - line.count(b"}")
+        if self._depth > 0:
+            return False
+        text, self._kept, self._depth = bytes(self._kept), bytearray(), 0
+        self._on_list(text)
+        return True
 
 
 class Call:
@@ -275,7 +302,7 @@
                 return 0.0
             self._tell("all", news)
         since = 0 if self._spoilt else self._version
-        channel = await self._open(call, f"{PATH}?watch=1&from={since}", self._changed)
+        channel = await self._open(call, f"{PATH}?watch=1&from={since}", Lists(self._changed).take)
         if channel is None:
             return 0.0
         # Guards against a machine that is cut off: its connections stay open and silent.
@@ -299,10 +326,11 @@
         """The whole list, or None where the call fails."""
         got = bytearray()
 
-        def take(line: bytes) -> None:
+        def take(line: bytes) -> bool:
             got.extend(line + b"\n")
             if len(got) > LIST_MOST:
                 raise ValueError("the list is too long")
+            return True
 
         channel = await self._open(call, PATH, take)
         try:
@@ -320,7 +348,7 @@
             call.close()
         return news
 
-    async def _open(self, call: Call, target: str, on_line: Callable[[bytes], None]) -> Channel | None:
+    async def _open(self, call: Call, target: str, on_line: Callable[[bytes], bool]) -> Channel | None:
         """Dial and ask; None where it does not come up, or is no longer wanted."""
         if call.ended:
             return None
@@ -336,10 +364,10 @@
         channel.ask(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return channel
 
-    def _changed(self, line: bytes) -> None:
-        """One line of a watch; `ValueError` ends it, and the next one brings the whole list."""
+    def _changed(self, text: bytes) -> None:
+        """One list of a watch; `ValueError` ends it, and the next one brings the whole list."""
         try:
-            news = parse_list(json.loads(line), self._places)
+            news = parse_list(json.loads(text), self._places)
         except NO_LIST as error:
             self._spoilt = True
             raise ValueError(f"not a list: {error}") from error
