Let a connection rest for 20 ms behind an answer before it carries the next

Seen: a second answer that came 6 to 20 ms late was served to the next request on that connection, the first time at each server (pool.py SETTLE_MS 3): served with what no server made for it, which loses the request. Ruled out: the look for unread bytes before each use (`fresh`) can't see what comes while the next request is out.

Now a connection rests for 20 ms. A busy sidecar holds one more to a server.

Test: a copy 10 ms late and a request between (red with 3 ms).

--- a/fordtrestle/http/pool.py
+++ b/fordtrestle/http/pool.py
@@ -27,8 +27,9 @@
 GRACE_MARGIN_MS = 50.0
 CLEAN_MS = 30_000.0  # after a late second answer: so long its server's connections carry one request each
 # Nothing on the wire ties an answer to its request but the order on its connection: one is used
-# again only once no second copy and no noise has come right behind the last answer.
-SETTLE_MS = 3.0
+# again only once no second copy and no noise has come for so long behind the last answer: they may come some
+# milliseconds late. It costs a busy sidecar one connection more to a server, not a handshake a request.
+SETTLE_MS = 20.0
 
 SHORT_S = 0.01  # until answers that wait for room are looked at again
 
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -118,6 +118,26 @@
         await until(lambda: len(server.idle) == 2)  # what came unasked for closed the first
 
 
+@loopback
+async def test_a_second_answer_some_milliseconds_late_is_never_the_next_ones():
+    """The next request is asked for before the copy comes, and answered after it."""
+
+    async def twice(reader, writer):
+        asyncio.get_running_loop().call_later(0.010, writer.write, OK)
+        return OK
+
+    async def slowly(reader, writer):
+        await asyncio.sleep(0.03)
+        return SECOND
+
+    upstream = await Upstream([twice, slowly]).start()
+    async with running(upstream, balancer=Scripted()) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        await asyncio.sleep(0.005)
+        assert (await app.ask()).body == b"other"
+
+
 @loopback
 async def test_an_unsafe_request_is_not_sent_again_on_a_rejection_that_brings_more_than_itself():
     """Guards against believing what is spoilt: the 200 behind the rejection may be this request's."""
