--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""Plugins of the whole suite."""
+
+pytest_plugins = ("tests.known_red", "pytester")
