Hold cold servers to the sum of the fleet by one coin a request, without budgets of whole calls

`Balancer._cold_room` kept a budget of at least one whole call per server and sidecar. It filled over the whole warm-up and was held back, so where draws came to a few cold servers at once, all sidecars spent theirs together. And a sidecar that asks little hardly ever had a whole call: cold servers got a third of their natural share. `_most_servers` faded by each list that came, a third in a mass leave told one server at a time.

Ruled out: the random start of the budget, which is an even dither, and adds up to nothing.

The change: no budget and no state per server. A request may go to cold servers by one coin, the same for all of them and for repeats; its chance falls with what is fit of the servers there were lately (by time now, not by lists) and with what is turned away. The trials of an outage keep their own bound.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -128,7 +128,7 @@
 STALL_HELD = 8.0
 
 COME_BACK = 0.1  # of the aim: soon enough that a client's retry may still be served in time
-COLD_SHARE = 0.75  # of what topples a cold server, were all warm ones fully loaded
+COLD_SHARE = 0.5  # of what topples a cold server, were all warm ones fully loaded
 RATE_MS = 10000.0  # memory of the own rate of sends
 RATE_LEAST_MS = 200.0  # a first burst is no rate
 
@@ -345,8 +345,6 @@
     releases: int = 0
     idle: int = 0  # connections thought to be open and unused
     used_at: float = 0.0  # last send or outcome there; 0 before the first
-    budget: float = 0.0  # sends that it may take while cold
-    budget_at: float = 0.0
 
     def update(self, entry: model.Listing) -> None:
         self.zone = entry.zone
@@ -399,6 +397,7 @@
     wait_most: float  # to come back after, as a refusal says
     work: float = 1.0
     over: bool = False
+    luck: float = 0.0  # its one coin for cold servers, once it has met one
     in_turn: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
@@ -484,7 +483,8 @@
         self._turns: dict[int, Turn] = {}
         self._born = now
         self._sends, self._sends_at = 0.0, now  # fading count of sends, for the own rate
-        self._most_servers = 1.0
+        self._most_servers, self._most_at = 1.0, now  # of late
+        self._to_cold = (now, 0, 0, 0), True  # the last that was worked out: of what, and whether
         self._ask_pending = False
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
@@ -661,7 +661,8 @@
             self._list(now, entry)
         self._forget_gone(now)
         self._rebuild()
-        self._most_servers = max(1.0, len(self._ring), 0.98 * self._most_servers)
+        faded = self._most_servers * math.exp((self._most_at - now) / FORGET_MS)
+        self._most_servers, self._most_at = max(1.0, len(self._ring), faded), now
         return self._take()
 
     def pressure(self, now: float, share: float) -> list[model.Action]:
@@ -782,9 +783,10 @@
             zone = self._zones[name]
             if now - zone.tried_at >= CUT_OFF_TRIAL_MS:
                 zone.tried_at = now
-                there = [s for s in self._ring if s.zone == name and self._cold_room(now, s)]
-                if there:
-                    return [there[int(self._rng.random() * len(there))]]
+                there = [s for s in self._ring if s.zone == name]
+                server = there[int(self._rng.random() * len(there))] if there else None
+                if server and self._cold_room(now, request, server, self._ring, len(self._ring)):
+                    return [server]
         return []
 
     def _too_heavy(self, now: float, request: Request) -> bool:
@@ -823,9 +825,9 @@
             share = self._capacity(now, server) / top
             if share < 1.0 and self._rng.random() >= share:
                 continue
-            if server in tried or server in drawn or not self._fit(now, server):
+            if server in tried or server in drawn:
                 continue
-            if not self._may_send(now, request, server):
+            if not self._may_draw(now, request, server, ring, reach):
                 continue
             drawn.append(server)
             if len(drawn) >= CANDIDATES + FRESH_CANDIDATES * max(0.0, self._connect_ill - FRESH_ILL):
@@ -838,7 +840,7 @@
         """Guards against a refusal only since the draws were unlucky."""
         start = int(self._rng.random() * len(ring))
         for server in ring[start:] + ring[:start]:
-            if server not in tried and self._fit(now, server) and self._may_send(now, request, server):
+            if server not in tried and self._may_draw(now, request, server, ring, len(ring)):
                 return [server]
         return []
 
@@ -876,7 +878,7 @@
             fitness = warmth * server.pace.speed
             if fitness < 1.0 and self._rng.random() >= fitness:
                 continue
-            if server in tried or not self._fit(now, server) or not self._may_send(now, request, server):
+            if server in tried or not self._may_draw(now, request, server, near, len(near)):
                 continue
             drawn.append(server)
             if len(drawn) >= width:
@@ -930,23 +932,32 @@
         cold = self._set.cold_from
         return max(0.02, cold + (1.0 - cold) * age / self._set.warm_up)
 
-    def _cold_room(self, now: float, server: Server) -> bool:
-        """Whether a cold server may have one more send from this sidecar.
+    def _cold_room(
+        self, now: float, request: Request, server: Server, ring: list[Server], reach: int
+    ) -> bool:
+        """Whether a request may go to a server, if that is cold, drawn from the first `reach` of a ring.
 
-        The odds of a draw hold only while others are there to be drawn. Guards against a mass
-        restart, drains or ejections that leave few others, and against the only one known being
-        cold. Hundreds of sidecars act alike, so each counts its own part: its rate over the
-        servers there were lately. It costs refusals where a fleet is scaled down on purpose.
+        The odds of a draw hold only while others are there to be drawn. Guards against a mass restart,
+        drains or ejections that leave few others: the less is fit of what there was lately, the fewer
+        requests may go to cold servers. Sidecars act alike, and keep nothing for later: what hundreds
+        send adds up to the same. A request has one coin for all servers and repeats, since more coins
+        would send more. It costs refusals where a fleet is scaled down on purpose.
         """
-        warmth = self._warmth(now, server)
-        if warmth >= 1.0:
+        if self._warmth(now, server) >= 1.0 or self._away:  # the trials of an outage have their own bound
             return True
-        part = warmth * min(SPEED_MOST, server.kind_pace.speed) / self._most_servers
-        share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
-        gained = share * (now - server.budget_at)
-        server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
-        server.budget_at = now
-        return server.budget >= 1.0
+        asked = now, request.id, len(ring), reach
+        if asked != self._to_cold[0]:
+            full = sum(self._capacity(math.inf, other) for other in ring[:reach])
+            fit = sum(self._capacity(now, other) for other in ring[:reach] if self._fit(now, other))
+            left = fit / full * len(self._ring) / self._most_servers
+            if ring is self._near:  # all of this zone keep to it, however few are left there
+                left *= min(1.0, len(ring) * self._set.zones / len(self._ring))
+            # What is turned away is sent again, here or by its client, and counts in the sum too; one
+            # that has just started knows little of that.
+            left *= (self._throttle.accepts + 1.0) / (self._throttle.requests + 3.0)
+            request.luck = request.luck or self._rng.random()
+            self._to_cold = asked, request.luck < self._set.fall_multiple * COLD_SHARE * left
+        return self._to_cold[1]
 
     def _rate(self, now: float) -> float:
         """The own rate of sends of late, per millisecond."""
@@ -955,9 +966,14 @@
 
     # --- health -----------------------------------------------------------
 
+    def _may_draw(self, now: float, request: Request, server: Server, ring: list[Server], reach: int) -> bool:
+        if not self._fit(now, server) or not self._may_send(now, request, server):
+            return False
+        return self._cold_room(now, request, server, ring, reach)
+
     def _fit(self, now: float, server: Server) -> bool:
         """Whether a server may be drawn; one that struck gets a single trial."""
-        if now < server.rest_until or self._is_cut_off(now, server) or not self._cold_room(now, server):
+        if now < server.rest_until or self._is_cut_off(now, server):
             return False
         if server.open >= server.room + (now - server.room_at) / ROOM_REGAIN_MS:
             return False
@@ -1250,7 +1266,6 @@
         request.out += 1
         self._sends = self._sends * math.exp((self._sends_at - now) / RATE_MS) + 1.0
         self._sends_at = now
-        server.budget -= 1.0
         server.open += 1
         self._open += 1
         self._out.append(model.Send(request.id, server.name, timeout, within))
@@ -1289,12 +1304,10 @@
             kind = self._kind_pace.setdefault(entry.kind, Pace())
             salt = int.from_bytes(blake2b(entry.server.encode(), digest_size=8).digest())
             server = self._servers[entry.server] = Server(entry.server, salt, kind, now)
-            server.budget, server.budget_at = self._rng.random(), now
         elif entry.started != server.started:
             server.strikes = server.idle = 0
             server.ill = 0.0
             server.rest_until = 0.0
-            server.budget, server.budget_at = self._rng.random(), now
         if server.usable and entry.state != "active":
             server.gone_at = now
         server.update(entry)
