Ask discovery again within 0.5 to 1.5 s of a failed call, however often it failed

`Balancer.server_list` doubled the delay after each "refused" up to half of `AskWithin`, times 1 to 2: 10 s. What discovery has to tell counts as told 6 s after it can be reached, whatever calls failed before.

The delay is now 500 to 1500 ms at random, with no growth; less where `AskWithin` is under 3 s. The spread keeps a fleet's calls apart; the state of the doubling is gone.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -153,7 +153,7 @@
 
 FORGET_MS = 60000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
-ASK_AGAIN_MS = 500.0
+ASK_AGAIN_MS = 500.0  # after a call that failed; up to three times that, at random
 WATCH = "watch"
 DUE = "due:"
 LATE = "late:"
@@ -486,7 +486,6 @@
         self._most_servers, self._most_at = 1.0, now  # of late
         self._to_cold = (now, 0, 0, 0), True  # the last that was worked out: of what, and whether
         self._ask_pending = False
-        self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
         self._go_by(settings)
 
@@ -640,15 +639,13 @@
     def server_list(self, now: float, form: str, entries: Iterable[model.Listing]) -> list[model.Action]:
         """What discovery says of the servers."""
         if form == "refused":
-            self._ask(self._ask_delay * (1.0 + self._rng.random()))
-            self._ask_delay = min(self._ask_delay * 2.0, self._set.ask_within / 2.0)
+            # No longer each time: what discovery has to tell counts as told soon after its return.
+            again = min(ASK_AGAIN_MS, self._set.ask_within / 6.0)
+            self._ask(again * (1.0 + 2.0 * self._rng.random()))
             return self._take()
-        if form == "remembered":
-            if self._set.discovery == "subscribe":
-                spread = min(ASK_SPREAD_MS, self._set.ask_within / 4.0)
-                self._ask(self._rng.random() * spread)
-        else:
-            self._ask_delay = ASK_AGAIN_MS
+        if form == "remembered" and self._set.discovery == "subscribe":
+            spread = min(ASK_SPREAD_MS, self._set.ask_within / 4.0)
+            self._ask(self._rng.random() * spread)
         if form != "changes":
             entries = list(entries)
             named = {entry.server for entry in entries}
--- a/tests/poppypulley/test_departures.py
+++ b/tests/poppypulley/test_departures.py
@@ -103,6 +103,23 @@
     assert max(delays) < 10_000.0
 
 
+def test_discovery_is_asked_again_soon_however_often_it_failed():
+    # What it has to tell counts as told 6 s after it can be reached again; calls must not come at once.
+    delays = []
+    for seed in range(20):
+        made = Balancer(0.0, Settings.parse(raw_settings("safe", Discovery="subscribe")), seed)
+        (timer,) = of_type(made.server_list(0.0, "remembered", listing(3)), Timer)
+        now = timer.delay
+        assert now <= 2500.0
+        for _ in range(20):
+            assert made.timer(now, timer.token) == [Watch(True)]
+            (timer,) = of_type(made.server_list(now, "refused", []), Timer)
+            delays.append(timer.delay)
+            now += timer.delay
+    assert 500.0 <= min(delays) < 700.0 and 1300.0 < max(delays) <= 1500.0
+    assert len(set(delays)) == len(delays)
+
+
 def test_a_sidecar_keeps_to_a_small_subset_and_sidecars_cover_the_fleet():
     met = Counter()
     for me in range(30):
