Split http/downstream.py: a call, the protocols, and the connection have a module each

`ClientCall` (a request as read, its form for a server, its final answer) is in http/call.py; `Taker`, `Listener` and `Guest`, the protocols between a front and its connections, are in http/listener.py; `ClientConnection` and its constants stay in http/downstream.py. Imports run one way at run time: downstream -> listener -> call; the types that lead back are imported for checking only. The bounding of half-sent requests stays with the connection, since it works on what its parser has read.

Moves only, no line of code differs.

--- a/benchmarks/giveway.py
+++ b/benchmarks/giveway.py
@@ -21,7 +21,7 @@
 from fordtrestle.engine.lag import LagMeter
 from fordtrestle.engine.limits import Limits
 from fordtrestle.http.accept import queued
-from fordtrestle.http.downstream import ClientCall
+from fordtrestle.http.call import ClientCall
 from fordtrestle.http.front import Front, FrontOptions
 from fordtrestle.http.requests import RequestClass, RequestNames
 
--- a/fordtrestle/daemon/recording.py
+++ b/fordtrestle/daemon/recording.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from fordtrestle.engine.log import log
-from fordtrestle.http.downstream import ClientCall
+from fordtrestle.http.call import ClientCall
 from fordtrestle.http.requests import RequestNames
 from fordtrestle.load.mix import Request
 from fordtrestle.load.trace import Writer
--- a/fordtrestle/http/accept.py
+++ b/fordtrestle/http/accept.py
@@ -12,7 +12,7 @@
 from fordtrestle.engine.connections import Seat
 from fordtrestle.engine.limits import Part
 from fordtrestle.http import stream
-from fordtrestle.http.downstream import Guest
+from fordtrestle.http.listener import Guest
 
 # Connections accepted in one turn of the loop. Guards against a flood that keeps the loop from all
 # else: what was accepted in a turn is looked at before more is.
--- /dev/null
+++ b/fordtrestle/http/call.py
@@ -0,0 +1,108 @@
+"""One call of a client: its request as read, its form for a server, and its final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fordtrestle.engine.driver import OpenRequest
+from fordtrestle.engine.ports import Answer
+from fordtrestle.http import requests
+from fordtrestle.http.requests import BadRequest, Message, RequestNames
+from fordtrestle.http.wire import Headers
+
+if TYPE_CHECKING:
+    from fordtrestle.http.downstream import ClientConnection
+
+
+class ClientCall:
+    """One request on a connection, and its answer once there is one."""
+
+    __slots__ = (
+        *("_body", "_head", "again", "answer", "band", "budget", "call_id", "charged", "connection"),
+        *("keep_alive", "key", "mutates", "names", "request", "size", "tenant", "work"),
+    )
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.keep_alive = True
+        self.request: OpenRequest | None = None
+        self.answer: tuple[int, Headers, bytes] | None = None
+        self.band = self.tenant = 0
+        self.key: int | None = None
+        self.work: float | None = None
+        self.again = self.mutates = False
+        self.budget = 0.0
+        self.names: RequestNames | None = None  # by which its head was judged
+        self.call_id = ""
+        self.size = 0  # bytes that it holds for as long as it may be sent
+        self.charged = 0  # bytes in the front's book, from taking it until nothing of it is out
+        self._head = b""
+        self._body = b""
+
+    def read(self, message: Message, names: RequestNames) -> None:
+        """Take in the head of a request for servers; `BadRequest` says what is wrong with it."""
+        kind = requests.class_of(message, names)
+        self.names = names
+        self.band = kind.band
+        self.budget = requests.budget_of(message.needed("x-budget"))
+        self.call_id = message.needed("x-call-id")
+        if requests.IDENTITY.fullmatch(self.call_id) is None:
+            raise BadRequest(400, "X-Call-Id: not an identity")
+        if names.tenants:
+            tenant = names.tenants.get(message.needed("x-caller"))
+            if tenant is None:
+                raise BadRequest(400, "X-Caller: not known")
+            self.tenant = tenant
+        user = requests.cookie(message.text("cookie") or "", "user")
+        self.key = None if user is None else requests.stable_number(user)
+        cost = message.text("x-call-cost")
+        self.work = None if cost is None else requests.cost_of(cost)
+        self.again = message.text("x-again") == "1"
+        self.mutates = "Mutates=1" in (message.text("x-call-info") or "").split(",")
+        self._head = b"%b %b HTTP/1.1\r\n%b" % (
+            message.method.encode(),
+            message.target,
+            message.passed_on(),
+        )
+
+    def whole(self, message: Message) -> None:
+        """Take in the body."""
+        self._body = bytes(message.body)
+        # Guards against a body without a length, which a server would read as the next request.
+        if message.method != "GET" or self._body:
+            self._head += b"Content-Length: %d\r\n" % len(self._body)
+        self.size = len(self._head) + len(self._body)
+
+    @property
+    def body_size(self) -> int:
+        """Bytes of its body."""
+        return len(self._body)
+
+    def wire(self, left: float) -> bytes | None:
+        """The request for a server that has `left` milliseconds; None where its client has left."""
+        if self.connection.has_left():
+            return None
+        return b"%bX-Budget: %du\r\n\r\n%b" % (self._head, max(0.0, left) * 1000.0, self._body)
+
+    def served(self, answer: Answer) -> None:
+        """The final answer: a server's, its body unchanged."""
+        self._finish(200, answer.headers, answer.body)
+
+    def refused(self, retry_after: float) -> None:
+        """The final answer: refused, with when to come back if that was said."""
+        wait = [(b"Retry-After", b"%.3f" % (retry_after / 1000.0))] if retry_after > 0.0 else []
+        self._finish(503, wait, b"")
+
+    def failed(self, late: bool) -> None:
+        """The final answer: failed."""
+        self._finish(504 if late else 502, [], b"")
+
+    def over(self) -> None:
+        """No attempt is out any more: its identity may come again."""
+        self.request = None
+        self.connection.over(self)
+
+    def _finish(self, status: int, headers: Headers, body: bytes) -> None:
+        if self.answer is None:
+            self.answer = (status, headers, body)
+            self.connection.answered()
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -4,18 +4,14 @@
 
 import asyncio
 from collections import deque
-from typing import Protocol
 
 import httptools
 
-from fordtrestle.engine.clock import Clock
-from fordtrestle.engine.connections import ConnectionTable, Seat
-from fordtrestle.engine.driver import OpenRequest
-from fordtrestle.engine.lag import LagMeter
-from fordtrestle.engine.ports import Answer
+from fordtrestle.engine.connections import Seat
 from fordtrestle.http import requests, stream, wire
-from fordtrestle.http.requests import BadRequest, Message, RequestNames
-from fordtrestle.http.wire import Headers
+from fordtrestle.http.call import ClientCall
+from fordtrestle.http.listener import Guest, Listener
+from fordtrestle.http.requests import BadRequest, Message
 
 READY_PATH = "/health/ready"
 PIPELINED_MOST = 16  # requests read and not answered; past it the connection ends with the last of them
@@ -27,170 +23,6 @@
 LINGER_S = 1.0  # for a client to read the last answer and to end the connection, too, once it is ended here
 
 
-class Taker(Protocol):
-    """What requests are given to."""
-
-    def arrive(self, call: ClientCall, now: float) -> OpenRequest | None:
-        """Take a request; it gets one final answer, and `over` once no attempt is out."""
-
-    def client_gone(self, request: OpenRequest) -> None:
-        """Its client has closed the connection."""
-
-
-class ClientCall:
-    """One request on a connection, and its answer once there is one."""
-
-    __slots__ = (
-        *("_body", "_head", "again", "answer", "band", "budget", "call_id", "charged", "connection"),
-        *("keep_alive", "key", "mutates", "names", "request", "size", "tenant", "work"),
-    )
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.keep_alive = True
-        self.request: OpenRequest | None = None
-        self.answer: tuple[int, Headers, bytes] | None = None
-        self.band = self.tenant = 0
-        self.key: int | None = None
-        self.work: float | None = None
-        self.again = self.mutates = False
-        self.budget = 0.0
-        self.names: RequestNames | None = None  # by which its head was judged
-        self.call_id = ""
-        self.size = 0  # bytes that it holds for as long as it may be sent
-        self.charged = 0  # bytes in the front's book, from taking it until nothing of it is out
-        self._head = b""
-        self._body = b""
-
-    def read(self, message: Message, names: RequestNames) -> None:
-        """Take in the head of a request for servers; `BadRequest` says what is wrong with it."""
-        kind = requests.class_of(message, names)
-        self.names = names
-        self.band = kind.band
-        self.budget = requests.budget_of(message.needed("x-budget"))
-        self.call_id = message.needed("x-call-id")
-        if requests.IDENTITY.fullmatch(self.call_id) is None:
-            raise BadRequest(400, "X-Call-Id: not an identity")
-        if names.tenants:
-            tenant = names.tenants.get(message.needed("x-caller"))
-            if tenant is None:
-                raise BadRequest(400, "X-Caller: not known")
-            self.tenant = tenant
-        user = requests.cookie(message.text("cookie") or "", "user")
-        self.key = None if user is None else requests.stable_number(user)
-        cost = message.text("x-call-cost")
-        self.work = None if cost is None else requests.cost_of(cost)
-        self.again = message.text("x-again") == "1"
-        self.mutates = "Mutates=1" in (message.text("x-call-info") or "").split(",")
-        self._head = b"%b %b HTTP/1.1\r\n%b" % (
-            message.method.encode(),
-            message.target,
-            message.passed_on(),
-        )
-
-    def whole(self, message: Message) -> None:
-        """Take in the body."""
-        self._body = bytes(message.body)
-        # Guards against a body without a length, which a server would read as the next request.
-        if message.method != "GET" or self._body:
-            self._head += b"Content-Length: %d\r\n" % len(self._body)
-        self.size = len(self._head) + len(self._body)
-
-    @property
-    def body_size(self) -> int:
-        """Bytes of its body."""
-        return len(self._body)
-
-    def wire(self, left: float) -> bytes | None:
-        """The request for a server that has `left` milliseconds; None where its client has left."""
-        if self.connection.has_left():
-            return None
-        return b"%bX-Budget: %du\r\n\r\n%b" % (self._head, max(0.0, left) * 1000.0, self._body)
-
-    def served(self, answer: Answer) -> None:
-        """The final answer: a server's, its body unchanged."""
-        self._finish(200, answer.headers, answer.body)
-
-    def refused(self, retry_after: float) -> None:
-        """The final answer: refused, with when to come back if that was said."""
-        wait = [(b"Retry-After", b"%.3f" % (retry_after / 1000.0))] if retry_after > 0.0 else []
-        self._finish(503, wait, b"")
-
-    def failed(self, late: bool) -> None:
-        """The final answer: failed."""
-        self._finish(504 if late else 502, [], b"")
-
-    def over(self) -> None:
-        """No attempt is out any more: its identity may come again."""
-        self.request = None
-        self.connection.over(self)
-
-    def _finish(self, status: int, headers: Headers, body: bytes) -> None:
-        if self.answer is None:
-            self.answer = (status, headers, body)
-            self.connection.answered()
-
-
-class Listener(Protocol):
-    """What holds the connections, as they see it."""
-
-    loop: asyncio.AbstractEventLoop
-    clock: Clock
-    taker: Taker
-    draining: bool
-    table: ConnectionTable[Guest]
-    lag: LagMeter
-    unread: dict[ClientConnection, None]  # of whom nothing is read at present
-
-    def rests(self, seat: Seat[Guest]) -> None:
-        """All that a connection asked is answered."""
-
-    def read(self, call: ClientCall, message: Message) -> None:
-        """A head: `BadRequest` where the request can't be taken."""
-
-    def serve(self, call: ClientCall, read_at: float) -> None:
-        """A whole request: answered here, or taken."""
-
-    def over(self, call: ClientCall) -> None:
-        """Nothing of a request is open any more."""
-
-    def hold(self, connection: ClientConnection, size: int, half: bool = False) -> bool:
-        """So many bytes are held by a connection now, if it is `half` of a request among them; whether there
-        is room for them."""
-
-    def stuck(self, connection: ClientConnection) -> None:
-        """Its client does not read what is written."""
-
-    def flowing(self, connection: ClientConnection) -> None:
-        """It has read all of it."""
-
-    def released(self, guest: Guest) -> None:
-        """Its socket is closed."""
-
-
-class Guest(Protocol):
-    """A client's connection, before or after its first byte."""
-
-    seat: Seat[Guest]
-
-    @property
-    def idle(self) -> bool:
-        """Whether it stands between requests, with nothing unread on either side."""
-
-    @property
-    def quiet(self) -> bool:
-        """Whether it may be closed for another's sake."""
-
-    def close(self) -> None:
-        """Close it, between requests."""
-
-    def abort(self) -> None:
-        """Close it whatever it holds."""
-
-    def first_is_overdue(self) -> None:
-        """It has not sent a whole request for longer than any healthy client takes."""
-
-
 class ClientConnection(stream.Reader):
     """One connection of a client, from its first byte."""
 
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -16,7 +16,9 @@
 from fordtrestle.engine.ports import Address
 from fordtrestle.http import requests, stream
 from fordtrestle.http.accept import Acceptor, Newcomer, queued
-from fordtrestle.http.downstream import SEND_BUFFER, ClientCall, ClientConnection, Guest, Taker
+from fordtrestle.http.call import ClientCall
+from fordtrestle.http.downstream import SEND_BUFFER, ClientConnection
+from fordtrestle.http.listener import Guest, Taker
 from fordtrestle.http.requests import BadRequest, Message, RequestNames
 
 BACKLOG = 1024
--- /dev/null
+++ b/fordtrestle/http/listener.py
@@ -0,0 +1,86 @@
+"""What a client's connection sees of the front that holds it, and the front of a connection it holds."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from fordtrestle.engine.clock import Clock
+from fordtrestle.engine.connections import ConnectionTable, Seat
+from fordtrestle.engine.driver import OpenRequest
+from fordtrestle.engine.lag import LagMeter
+from fordtrestle.http.call import ClientCall
+from fordtrestle.http.requests import Message
+
+if TYPE_CHECKING:
+    from fordtrestle.http.downstream import ClientConnection
+
+
+class Taker(Protocol):
+    """What requests are given to."""
+
+    def arrive(self, call: ClientCall, now: float) -> OpenRequest | None:
+        """Take a request; it gets one final answer, and `over` once no attempt is out."""
+
+    def client_gone(self, request: OpenRequest) -> None:
+        """Its client has closed the connection."""
+
+
+class Listener(Protocol):
+    """What holds the connections, as they see it."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    taker: Taker
+    draining: bool
+    table: ConnectionTable[Guest]
+    lag: LagMeter
+    unread: dict[ClientConnection, None]  # of whom nothing is read at present
+
+    def rests(self, seat: Seat[Guest]) -> None:
+        """All that a connection asked is answered."""
+
+    def read(self, call: ClientCall, message: Message) -> None:
+        """A head: `BadRequest` where the request can't be taken."""
+
+    def serve(self, call: ClientCall, read_at: float) -> None:
+        """A whole request: answered here, or taken."""
+
+    def over(self, call: ClientCall) -> None:
+        """Nothing of a request is open any more."""
+
+    def hold(self, connection: ClientConnection, size: int, half: bool = False) -> bool:
+        """So many bytes are held by a connection now, if it is `half` of a request among them; whether there
+        is room for them."""
+
+    def stuck(self, connection: ClientConnection) -> None:
+        """Its client does not read what is written."""
+
+    def flowing(self, connection: ClientConnection) -> None:
+        """It has read all of it."""
+
+    def released(self, guest: Guest) -> None:
+        """Its socket is closed."""
+
+
+class Guest(Protocol):
+    """A client's connection, before or after its first byte."""
+
+    seat: Seat[Guest]
+
+    @property
+    def idle(self) -> bool:
+        """Whether it stands between requests, with nothing unread on either side."""
+
+    @property
+    def quiet(self) -> bool:
+        """Whether it may be closed for another's sake."""
+
+    def close(self) -> None:
+        """Close it, between requests."""
+
+    def abort(self) -> None:
+        """Close it whatever it holds."""
+
+    def first_is_overdue(self) -> None:
+        """It has not sent a whole request for longer than any healthy client takes."""
--- a/tests/daemon/test_long.py
+++ b/tests/daemon/test_long.py
@@ -5,7 +5,8 @@
 import gc
 
 from fordtrestle.engine.driver import OpenAttempt, OpenRequest
-from fordtrestle.http.downstream import ClientCall, ClientConnection
+from fordtrestle.http.call import ClientCall
+from fordtrestle.http.downstream import ClientConnection
 from fordtrestle.http.upstream import UpstreamExchange
 from fordtrestle.membership.lists import parse_list
 from poppypulley import balancer
