--- a/benchmarks/giveway.py
+++ b/benchmarks/giveway.py
@@ -2,7 +2,7 @@
 
 In this process, with no crowd to share a core with: the CPU time from accepting a connection to having
 closed it, for those that are closed while silent, turned away at once, and answered 503 at the limit;
-and the pure table's choice of who gives way at 100 to 10,000 connections. Microseconds, the least of
+and the pure table's choice of who is evicted at 100 to 10,000 connections. Microseconds, the least of
 several rounds. Exit codes: 0 all bounds met, 1 a bound not met, 2 bad input.
 """
 
@@ -51,10 +51,10 @@
     """A front with places for all, or with none, and then room for all at the limit."""
     loop = asyncio.get_running_loop()
     budget = Limits(COUNT if places else 0, 2**24, COUNT).budget("clients")
-    spare = Limits(0 if places else COUNT, 0, 0).descriptors.part("at the limit")
+    reserve = Limits(0 if places else COUNT, 0, 0).descriptors.part("at the limit")
     options = FrontOptions(NAMES, 10 * COUNT)
     clock = Clock(loop)
-    return Front(loop, clock, options, Nobody(), budget, spare, LagMeter(loop, clock.now, lambda: False))
+    return Front(loop, clock, options, Nobody(), budget, reserve, LagMeter(loop, clock.now, lambda: False))
 
 
 async def crowd(send: Callable[[int], bytes], places: bool = True) -> tuple[float, float]:
@@ -73,8 +73,8 @@
         await asyncio.sleep(0.001)
     lived = time.process_time() - began
     began = time.process_time()
-    for seat in front.table:
-        seat.holder.close()
+    for entry in front.table:
+        entry.holder.close()
     closed = time.process_time() - began
     front.close()
     for client in clients:
@@ -88,23 +88,23 @@
 
 
 def choice(size: int) -> float:
-    """Microseconds to choose who gives way in a table of so many, and to seat another."""
+    """Microseconds to choose who is evicted in a table of so many, and to enter another."""
     made: ConnectionTable[int] = ConnectionTable(TableOptions(size))
     for number in range(size):
         _asked(made, number, 0.0)
     began = time.process_time()
     for number in range(COUNT):
-        seat = made.victim(500.0, lambda holder: True)
-        assert seat is not None
-        made.close(seat)
+        entry = made.victim(500.0, lambda holder: True)
+        assert entry is not None
+        made.close(entry)
         _asked(made, size + number, 500.0)
     return (time.process_time() - began) / COUNT * 1e6
 
 
 def _asked(made: ConnectionTable[int], number: int, now: float) -> None:
-    seat = made.open(number, now)
-    made.ask(seat, now)
-    made.rest(seat, now)
+    entry = made.open(number, now)
+    made.ask(entry, now)
+    made.rest(entry, now)
 
 
 def figures() -> dict[str, float]:
--- a/fordtrestle/config/limits.py
+++ b/fordtrestle/config/limits.py
@@ -9,9 +9,9 @@
 
 OPEN_CALLS_MOST = 2**20
 RETRY_AFTER_MS = 100.0  # told to whom there is no room for: places are free again soon, or not for long
-SPARE_SHARE = 0.02  # of the descriptors: for connections at the limit, which are told so
+RESERVE_SHARE = 0.02  # of the descriptors: for connections at the limit, which are told so
 PROGRAM_MB = 24  # of the memory: interpreter, code and what connections take that hold nothing
-BYTES_A_BYTE = 3  # of memory for each byte in the book
+BYTES_A_BYTE = 3  # of memory for each byte in the accounting
 BUFFERED_LEAST, BUFFERED_MOST = 4 * 2**20, 256 * 2**20
 
 
@@ -49,12 +49,12 @@
         whole = least(self.descriptors, granted)
         return max(4, (2**16 if whole is None else whole) - self.reserved_descriptors)
 
-    def books(self, granted: int | None) -> Limits:
-        """The books of a process to which the system grants so many descriptors."""
+    def ledgers(self, granted: int | None) -> Limits:
+        """The ledgers of a process to which the system grants so many descriptors."""
         return Limits(*self.capacities(granted))
 
     def capacities(self, granted: int | None) -> tuple[int, int, int]:
-        """What those books hold: descriptors, bytes and calls."""
+        """What those ledgers hold: descriptors, bytes and calls."""
         buffered = self.buffered_bytes_most or _buffered(self.memory_mb)
         return self.connections_most(granted), buffered, self.open_calls_most or OPEN_CALLS_MOST
 
@@ -68,17 +68,17 @@
     )
 
 
-def spare(limits: Limits) -> Part:
+def reserve(limits: Limits) -> Part:
     """The part for connections at the limit; to be made once all others have what they are guaranteed."""
     left = limits.descriptors.free
-    guaranteed = min(left, max(4, int(limits.descriptors.capacity * SPARE_SHARE)))
+    guaranteed = min(left, max(4, int(limits.descriptors.capacity * RESERVE_SHARE)))
     return limits.descriptors.part("at the limit", guaranteed, weight=0.0)
 
 
 def _buffered(memory_mb: int | None) -> int:
     """Bytes of requests and answers that fit beside the program itself.
 
-    Guards against what a byte in the book costs beside it: copies while it is passed on, and memory
+    Guards against what a byte in the accounting costs beside it: copies while it is passed on, and memory
     that the interpreter does not give back."""
     if memory_mb is None:
         return BUFFERED_MOST
--- a/fordtrestle/daemon/process.py
+++ b/fordtrestle/daemon/process.py
@@ -98,7 +98,7 @@
 
 
 class Machine:
-    """What a process may use of its machine: the books, how late its loop runs, and what is not in a book.
+    """What a process may use of its machine: the ledgers, how late its loop runs, and what is in no ledger.
 
     `memory_mb`: resident memory (2^20 bytes) at which it would be killed, None: not bounded. `cores`: of
     CPU time that it may use."""
@@ -196,7 +196,7 @@
             service.close()
 
     def unsettled(self) -> list[str]:
-        """What the books hold though all is closed: something leaks."""
+        """What the ledgers hold though all is closed: something leaks."""
         return self._limits.unsettled()
 
 
@@ -216,7 +216,7 @@
         """Close what is left."""
 
     def unsettled(self) -> list[str]:
-        """What the books hold though all is closed."""
+        """What the ledgers hold though all is closed."""
 
 
 P = TypeVar("P", bound=Program)
--- a/fordtrestle/daemon/sidecar.py
+++ b/fordtrestle/daemon/sidecar.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from fordtrestle.config import platform
-from fordtrestle.config.limits import LimitsOptions, budget, spare
+from fordtrestle.config.limits import LimitsOptions, budget, reserve
 from fordtrestle.config.platform import Config, ConfigError
 from fordtrestle.daemon.peers import PeerOptions
 from fordtrestle.daemon.process import FrontAt, Machine, News, Process, Service, run
@@ -36,13 +36,13 @@
         clock = Clock(loop)
         engine, pool = platform.engine_options(told), platform.pool_options(told)
         limits = told.limits
-        self.limits = limits.books(told.sockets)
+        self.limits = limits.ledgers(told.sockets)
         to_servers = budget(self.limits, "servers", limits.upstreams_guaranteed_share)
         to_clients = budget(self.limits, "clients", limits.fronts_guaranteed_share)
         service = Service(loop, clock, engine, pool, to_servers, discovery, peer_options(told))
         self.driver, self.pool, self.peers = service.driver, service.pool, service.peers
         machine = Machine(loop, clock, self.limits, limits.memory_mb, told.cores)
-        front, at_limit = platform.front_options(told), spare(self.limits)
+        front, at_limit = platform.front_options(told), reserve(self.limits)
         self.front = Front(loop, clock, front, self.driver, to_clients, at_limit, machine.lag)
         fronts = {ONLY: FrontAt(self.front, [told.listen])}
         self._process = Process(loop, machine, {ONLY: service}, fronts)
@@ -73,7 +73,7 @@
         self._process.close()
 
     def unsettled(self) -> list[str]:
-        """What the books hold though all is closed."""
+        """What the ledgers hold though all is closed."""
         return self._process.unsettled()
 
 
--- a/fordtrestle/daemon/standalone.py
+++ b/fordtrestle/daemon/standalone.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from fordtrestle.config import changes, operator, options
-from fordtrestle.config.limits import budget, spare
+from fordtrestle.config.limits import budget, reserve
 from fordtrestle.config.operator import Operator, OperatorError
 from fordtrestle.config.sources import StaticSpec
 from fordtrestle.daemon.peers import PeerOptions
@@ -42,7 +42,7 @@
         self._file = file
         self._told = told
         self._start = options.start_of(told)
-        self.limits = told.limits.books(self._start.granted)
+        self.limits = told.limits.ledgers(self._start.granted)
         self._clock = Clock(loop, seams.wall)
         self._machine = Machine(loop, self._clock, self.limits, told.limits.memory_mb)
         self._recordings: list[Recording] = []
@@ -53,7 +53,7 @@
             name: budget(self.limits, f"front.{name}", options.front_share(told, name))
             for name in told.fronts
         }
-        at_limit = spare(self.limits)
+        at_limit = reserve(self.limits)
         fronts = {name: self._front(name, part, at_limit) for name, part in parts.items()}
         self._process = Process(loop, self._machine, self.services, fronts)
 
@@ -158,7 +158,7 @@
             self._rules.close()
 
     def unsettled(self) -> list[str]:
-        """What the books hold though all is closed."""
+        """What the ledgers hold though all is closed."""
         return self._process.unsettled()
 
 
--- a/fordtrestle/engine/connections.py
+++ b/fordtrestle/engine/connections.py
@@ -1,18 +1,18 @@
-"""The connections of one front by what they have done, and who gives way when places run short. Pure.
+"""The connections of one front by what they have done, and which is evicted when places run short. Pure.
 
 A healthy client is told from a crowd by its connection's past, not by its address: it asks soon after
-it connects, and it comes back. So the order in which connections give way is
+it connects, and it comes back. So the order in which connections are evicted is
 
-1. what is turned away and only lingers;
+1. what is rejected and only lingers;
 2. who never asked, once it has had longer than clients take from connecting to their first request, and
    who has been as long about half of a later one;
 3. who has been at rest for so long that it has most likely left;
 4. who asked once, then who asked a few times, then the rest: the longest at rest first.
 
-Whoever has a request open never gives way, and a newcomer gets its time to ask: it may be a client's
-one resend. Every step looks at the heads of queues that are in order of time, so its cost does not
-grow with the table; who was looked at in vain goes to the end of another queue, so that nobody hides
-behind it.
+Whoever has a request open is never evicted, and a pending connection gets its time to ask: it may
+be a client's one resend. Every step looks at the heads of queues that are in order of time, so its
+cost does not grow with the table; who was looked at in vain goes to the end of another queue, so that
+nobody hides behind it.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
     ASKING = "asking"  # a request has begun and is not whole
     IN_CALL = "in a call"  # a whole request is not answered
     AT_REST = "at rest"  # all that it asked is answered
-    TURNED_AWAY = "turned away"  # its last answer is written or due; nothing more is read as a request
+    REJECTED = "rejected"  # its last answer is written or due; nothing more is read as a request
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,22 +42,22 @@
 
     clients_most: int  # connections that well-behaved clients hold altogether at the most
     first_ms: float = 2400.0  # from connecting to the first whole request; later ones are told so
-    patience_least_ms: float = 100.0  # a newcomer gets at least so long to ask, whatever was learned
+    patience_least_ms: float = 100.0  # a pending one gets at least so long to ask, whatever was learned
     patience_most_ms: float = 1000.0
     once_share: float = 0.5  # of `clients_most`: more who asked once do not rest at a time
     once_rest_ms: float = 1800.0  # who asked once and does not come back in this time is closed
     crowded_share: float = 0.75  # of `clients_most` at rest: places run short
     crowded_rest_ms: float = 2000.0  # and who has rested for so long is closed
-    stale_ms: float = 10_000.0  # at rest for longer: it gives way before who asked just now
+    stale_ms: float = 10_000.0  # at rest for longer: it is evicted before who asked just now
     hurried_rest_ms: float = 500.0  # under pressure: who asked once rests for no longer
-    look_most: int = 8  # connections looked at to find one that gives way
+    look_most: int = 8  # connections looked at to find one to evict
 
 
 FEW = 3  # asks up to which a connection counts as one of a few
 
 
-class Seat(Generic[Holder]):
-    """One connection's place in the table."""
+class TableEntry(Generic[Holder]):
+    """One connection in the table."""
 
     __slots__ = ("asks", "first_ms", "holder", "opened_ms", "queue", "since_ms", "standing", "waited_ms")
 
@@ -68,32 +68,32 @@
         self.since_ms = now  # since when it stands as it does
         self.waited_ms = waited_ms  # to be accepted
         self.first_ms = 0.0  # from connecting to its first whole request
-        self.queue: dict[Seat[Holder], None] | None = None  # that it is in
+        self.queue: dict[TableEntry[Holder], None] | None = None  # that it is in
         self.asks = 0  # times that it came with a whole request, or with several at once
 
 
 class ConnectionTable(Generic[Holder]):
-    """The seats of one front, each in one queue for what it does, oldest first."""
+    """The entries of one front, each in one queue for what it does, oldest first."""
 
     def __init__(self, options: TableOptions) -> None:
         self._options = options
         self._once_most = max(2, int(options.clients_most * options.once_share))
         self._crowded = max(4, int(options.clients_most * options.crowded_share))
-        self._seats: dict[Seat[Holder], None] = {}
-        self._away: dict[Seat[Holder], None] = {}
-        self._unasked: dict[Seat[Holder], None] = {}  # in order of connecting, whatever was begun
-        self._half: dict[Seat[Holder], None] = {}  # half of a later request has come
-        self._vain: dict[Seat[Holder], None] = {}  # of these three, who was looked at in vain
+        self._entries: dict[TableEntry[Holder], None] = {}
+        self._rejected: dict[TableEntry[Holder], None] = {}
+        self._unasked: dict[TableEntry[Holder], None] = {}  # in order of connecting, whatever was begun
+        self._half: dict[TableEntry[Holder], None] = {}  # half of a later request has come
+        self._vain: dict[TableEntry[Holder], None] = {}  # of these three, who was looked at in vain
         # At rest, by how often they asked: once, a few times, more often.
-        self._rest: tuple[dict[Seat[Holder], None], ...] = ({}, {}, {})
+        self._rest: tuple[dict[TableEntry[Holder], None], ...] = ({}, {}, {})
         self._first_mean = self._first_spread = 0.0  # from connecting to the first request, learned
         self.hurried = False  # pressed: who rests is closed sooner
 
     def __len__(self) -> int:
-        return len(self._seats)
+        return len(self._entries)
 
-    def __iter__(self) -> Iterator[Seat[Holder]]:
-        return iter(list(self._seats))
+    def __iter__(self) -> Iterator[TableEntry[Holder]]:
+        return iter(list(self._entries))
 
     @property
     def at_rest(self) -> int:
@@ -102,103 +102,103 @@
 
     @property
     def patience_ms(self) -> float:
-        """How long a newcomer is given to ask before it may have to give way."""
+        """How long a pending connection is given to ask before it may be evicted."""
         learned = self._first_mean + 4.0 * self._first_spread
         return min(max(learned, self._options.patience_least_ms), self._options.patience_most_ms)
 
     # --- what connections do ------------------------------------------------
 
-    def open(self, holder: Holder, now: float, waited_ms: float = 0.0) -> Seat[Holder]:
+    def open(self, holder: Holder, now: float, waited_ms: float = 0.0) -> TableEntry[Holder]:
         """A new connection."""
-        seat = Seat(holder, now, waited_ms)
-        self._seats[seat] = None
-        _move(seat, self._unasked)
-        return seat
+        entry = TableEntry(holder, now, waited_ms)
+        self._entries[entry] = None
+        _move(entry, self._unasked)
+        return entry
 
-    def begin(self, seat: Seat[Holder], now: float) -> None:
+    def begin(self, entry: TableEntry[Holder], now: float) -> None:
         """The first byte of a request has come, and no call is open."""
-        if seat not in self._seats or seat.standing in (Standing.ASKING, Standing.TURNED_AWAY):
+        if entry not in self._entries or entry.standing in (Standing.ASKING, Standing.REJECTED):
             return
-        if seat.asks:
-            _move(seat, self._half)
-        seat.standing, seat.since_ms = Standing.ASKING, now
+        if entry.asks:
+            _move(entry, self._half)
+        entry.standing, entry.since_ms = Standing.ASKING, now
 
-    def ask(self, seat: Seat[Holder], now: float, proves: bool = True) -> None:
+    def ask(self, entry: TableEntry[Holder], now: float, proves: bool = True) -> None:
         """A whole request has come. One that comes while another is open does not make it one that has
         come back, and one that only asks for readiness `proves` nothing."""
-        if seat not in self._seats or seat.standing is Standing.TURNED_AWAY:
+        if entry not in self._entries or entry.standing is Standing.REJECTED:
             return
-        standing = seat.standing
+        standing = entry.standing
         if standing is not Standing.IN_CALL:
-            _move(seat, None)
-            if seat.asks == 0:
-                seat.asks, seat.first_ms = 1, now - seat.opened_ms
+            _move(entry, None)
+            if entry.asks == 0:
+                entry.asks, entry.first_ms = 1, now - entry.opened_ms
             elif proves:
-                if seat.asks == 1:
-                    self._learn_first(seat.first_ms)
-                seat.asks += 1
-        seat.standing, seat.since_ms = Standing.IN_CALL, now
+                if entry.asks == 1:
+                    self._learn_first(entry.first_ms)
+                entry.asks += 1
+        entry.standing, entry.since_ms = Standing.IN_CALL, now
 
-    def rest(self, seat: Seat[Holder], now: float) -> None:
+    def rest(self, entry: TableEntry[Holder], now: float) -> None:
         """All that it asked is answered, and its client has read it."""
-        if seat in self._seats and seat.standing is not Standing.TURNED_AWAY and seat.asks:
-            _move(seat, self._rest[_tier(seat.asks)])
-            seat.standing, seat.since_ms = Standing.AT_REST, now
+        if entry in self._entries and entry.standing is not Standing.REJECTED and entry.asks:
+            _move(entry, self._rest[_tier(entry.asks)])
+            entry.standing, entry.since_ms = Standing.AT_REST, now
 
-    def turn_away(self, seat: Seat[Holder], now: float) -> None:
+    def reject(self, entry: TableEntry[Holder], now: float) -> None:
         """Nothing more is read from it as a request."""
-        if seat in self._seats and seat.standing is not Standing.TURNED_AWAY:
-            _move(seat, self._away)
-            seat.standing, seat.since_ms = Standing.TURNED_AWAY, now
+        if entry in self._entries and entry.standing is not Standing.REJECTED:
+            _move(entry, self._rejected)
+            entry.standing, entry.since_ms = Standing.REJECTED, now
 
-    def close(self, seat: Seat[Holder]) -> bool:
+    def close(self, entry: TableEntry[Holder]) -> bool:
         """It is closed, and its holder let go; whether it was in the table still."""
-        if seat not in self._seats:
+        if entry not in self._entries:
             return False
-        _move(seat, None)
-        del self._seats[seat]
-        del seat.holder  # it refers back: without it the memory is free at once
+        _move(entry, None)
+        del self._entries[entry]
+        del entry.holder  # it refers back: without it the memory is free at once
         return True
 
-    # --- who gives way --------------------------------------------------------
+    # --- who is evicted -------------------------------------------------------
 
     def victim(
         self, now: float, quiet: Callable[[Holder], bool], urgent: bool = False
-    ) -> Seat[Holder] | None:
-        """Who gives way for another connection, or None.
+    ) -> TableEntry[Holder] | None:
+        """Who is evicted for another connection, or None.
 
         `quiet` tells whether no call is open on a connection and nothing is unread on either side: guards
         against closing one whose request, or its rest, has come already, and against cutting an answer.
-        When it is `urgent` a newcomer may give way, too, the oldest first."""
-        vain: list[Seat[Holder]] = []
+        When it is `urgent` a pending connection may be evicted, too, the oldest first."""
+        vain: list[TableEntry[Holder]] = []
         found = None
-        for seat in islice(self._in_order(now, urgent), self._options.look_most):
-            if quiet(seat.holder):
-                found = seat
+        for entry in islice(self._in_order(now, urgent), self._options.look_most):
+            if quiet(entry.holder):
+                found = entry
                 break
-            vain.append(seat)
-        for seat in vain:
-            if seat.since_ms <= now - self.patience_ms:  # a newcomer keeps its time
-                self._looked_in_vain(seat)
+            vain.append(entry)
+        for entry in vain:
+            if entry.since_ms <= now - self.patience_ms:  # a pending connection keeps its time
+                self._looked_in_vain(entry)
         return found
 
-    def one_too_many(self, now: float, quiet: Callable[[Holder], bool]) -> Seat[Holder] | None:
-        """Who gives way although there is room: more of those who asked once rest than may.
+    def one_too_many(self, now: float, quiet: Callable[[Holder], bool]) -> TableEntry[Holder] | None:
+        """Who is evicted although there is room: more of those who asked once rest than may.
 
         Guards against clients that ask once and keep their connection: they hold all places that
         clients have, and nobody can ask until one is closed."""
         once = self._rest[0]
         if len(once) <= self._once_most:
             return None
-        return next((seat for seat in islice(once, self._options.look_most) if quiet(seat.holder)), None)
+        return next((entry for entry in islice(once, self._options.look_most) if quiet(entry.holder)), None)
 
-    def overdue(self, now: float) -> list[Seat[Holder]]:
+    def overdue(self, now: float) -> list[TableEntry[Holder]]:
         """Who has not sent a whole request for longer than any healthy client takes."""
         until = now - self._options.first_ms
-        gone = list(takewhile(lambda seat: seat.opened_ms <= until, self._unasked))
-        return gone + [seat for seat in self._vain if not seat.asks and seat.opened_ms <= until]
+        gone = list(takewhile(lambda entry: entry.opened_ms <= until, self._unasked))
+        return gone + [entry for entry in self._vain if not entry.asks and entry.opened_ms <= until]
 
-    def rested(self, now: float) -> list[Seat[Holder]]:
+    def rested(self, now: float) -> list[TableEntry[Holder]]:
         """Who has rested for too long: at any time who asked once, others in a crowd or under pressure."""
         options = self._options
         once_ms = options.hurried_rest_ms if self.hurried else options.once_rest_ms
@@ -208,30 +208,30 @@
                 gone += self._older(tier, now - options.crowded_rest_ms)
         return gone
 
-    # --- the books ------------------------------------------------------------
+    # --- the queues -----------------------------------------------------------
 
-    def _in_order(self, now: float, urgent: bool) -> Iterator[Seat[Holder]]:
-        yield from self._away
+    def _in_order(self, now: float, urgent: bool) -> Iterator[TableEntry[Holder]]:
+        yield from self._rejected
         patience = now - self.patience_ms
-        yield from takewhile(lambda seat: seat.opened_ms <= patience, self._unasked)
-        yield from takewhile(lambda seat: seat.since_ms <= patience, self._half)
+        yield from takewhile(lambda entry: entry.opened_ms <= patience, self._unasked)
+        yield from takewhile(lambda entry: entry.since_ms <= patience, self._half)
         stale = now - self._options.stale_ms
         for tier in self._rest:
-            yield from takewhile(lambda seat: seat.since_ms <= stale, tier)
+            yield from takewhile(lambda entry: entry.since_ms <= stale, tier)
         for tier in self._rest:
-            yield from dropwhile(lambda seat: seat.since_ms <= stale, tier)
+            yield from dropwhile(lambda entry: entry.since_ms <= stale, tier)
         yield from self._vain
         if urgent:
-            yield from dropwhile(lambda seat: seat.opened_ms <= patience, self._unasked)
+            yield from dropwhile(lambda entry: entry.opened_ms <= patience, self._unasked)
 
-    def _looked_in_vain(self, seat: Seat[Holder]) -> None:
+    def _looked_in_vain(self, entry: TableEntry[Holder]) -> None:
         """Guards against a few that always have something unread, behind which all others would hide."""
-        if seat.standing is not Standing.AT_REST:
-            _move(seat, self._vain)
+        if entry.standing is not Standing.AT_REST:
+            _move(entry, self._vain)
 
     @staticmethod
-    def _older(queue: dict[Seat[Holder], None], until: float) -> list[Seat[Holder]]:
-        return list(takewhile(lambda seat: seat.since_ms <= until, queue))
+    def _older(queue: dict[TableEntry[Holder], None], until: float) -> list[TableEntry[Holder]]:
+        return list(takewhile(lambda entry: entry.since_ms <= until, queue))
 
     def _learn_first(self, took: float) -> None:
         """As TCP learns a round trip (RFC 6298): a mean, and how far samples lie from it. Only who has
@@ -244,13 +244,13 @@
         self._first_spread += (abs(off) - self._first_spread) / 4.0
 
 
-def _move(seat: Seat[Holder], queue: dict[Seat[Holder], None] | None) -> None:
+def _move(entry: TableEntry[Holder], queue: dict[TableEntry[Holder], None] | None) -> None:
     """Out of the one queue that it is in, if any, to the end of this one, if any."""
-    if seat.queue is not None:
-        del seat.queue[seat]
-    seat.queue = queue
+    if entry.queue is not None:
+        del entry.queue[entry]
+    entry.queue = queue
     if queue is not None:
-        queue[seat] = None
+        queue[entry] = None
 
 
 def _tier(asks: int) -> int:
--- a/fordtrestle/engine/limits.py
+++ b/fordtrestle/engine/limits.py
@@ -1,9 +1,9 @@
 """One budget for what a process may hold, given out in parts. Pure.
 
-A `Ledger` is the book of one resource (descriptors, bytes, calls). Each front, pool or other holder
+A `Ledger` is the accounting of one resource (descriptors, bytes, calls). Each front, pool or other holder
 has a `Part` of it: what it is guaranteed is its own at any time, and is lent to nobody; the rest is
 common, and whoever asks first borrows it. When the common rest is used up, a part that holds less
-than its fair share may ask for one that holds more: that one gives way by its own order, or says no.
+than its fair share may ask for one that holds more: that one evicts by its own order, or says no.
 The sum that is held never passes the capacity.
 
 A step costs the same however much is held; only taking from others looks at each part once.
@@ -43,7 +43,7 @@
 
     @property
     def room(self) -> int:
-        """How much more it could take now with nobody giving way."""
+        """How much more it could take now with nobody evicted."""
         return max(0, self.guaranteed - self.held) + self._ledger.free
 
     def take(self, count: int = 1) -> bool:
@@ -74,7 +74,7 @@
 
 
 class Ledger:
-    """The book of one resource."""
+    """The accounting of one resource."""
 
     def __init__(self, name: str, capacity: int) -> None:
         self.name = name
@@ -133,7 +133,7 @@
         """Another capacity from now on; by how much more is held still, once all gave what they could.
 
         Where it is lowered, guarantees shrink in proportion until it is raised again, and who holds more
-        than is fair is asked to give way first. Nothing is taken until the sum is under the new capacity."""
+        than is fair is asked to give back first. Nothing is taken until the sum is under the new capacity."""
         whole = sum(part.stated for part in self.parts)
         for part in self.parts:
             part.guaranteed = part.stated * min(capacity, whole) // whole if whole else 0
@@ -158,7 +158,7 @@
         return iter(sorted(self.parts, key=lambda part: -excess[id(part)]))
 
     def _reclaimed(self, part: Part, count: int) -> bool:
-        """Have others give way to a part that holds less than its fair share; whether there is room."""
+        """Have others give back for a part that holds less than its fair share; whether there is room."""
         if part.held + count > self.fair(part):
             return False
         for other in self._past_fair():
@@ -181,7 +181,7 @@
 
 
 class Limits:
-    """The books of one process: descriptors, bytes held and open calls."""
+    """The accounting of one process: descriptors, bytes held and open calls."""
 
     def __init__(self, descriptors: int, buffered_bytes: int, calls: int) -> None:
         self.descriptors = Ledger("descriptors", descriptors)
@@ -196,9 +196,12 @@
 
     def unsettled(self) -> list[str]:
         """What is held still, a text for each part that holds any: none once everything is closed."""
-        books = (self.descriptors, self.buffered, self.calls)
+        ledgers = (self.descriptors, self.buffered, self.calls)
         return [
-            f"{part.held} {book.name} of {part.name}" for book in books for part in book.parts if part.held
+            f"{part.held} {ledger.name} of {part.name}"
+            for ledger in ledgers
+            for part in ledger.parts
+            if part.held
         ]
 
     def settle(self) -> None:
--- a/fordtrestle/engine/pressure.py
+++ b/fordtrestle/engine/pressure.py
@@ -5,8 +5,8 @@
 grows with the reading. Each action that goes on or off is told once, with its cause.
 
 Resident memory may raise pressure but does not end it: the interpreter gives little back of what was
-once used. What releases it is the book of the bytes that are held. From then on memory counts as pressing
-only if it has grown past where it stood.
+once used. What releases it is the accounting of the bytes that are held. From then on memory counts as
+pressing only if it has grown past where it stood.
 """
 
 from __future__ import annotations
@@ -143,7 +143,7 @@
         return cause, level
 
     def _memory(self, readings: Mapping[Monitor, float]) -> float:
-        """What resident memory counts as: nothing while the book shows that little is held of it."""
+        """What resident memory counts as: nothing while the accounting shows that little is held of it."""
         reading = readings[Monitor.MEMORY]
         if readings.get(Monitor.BUFFERED, 1.0) < RELEASED_BY_BOOK:
             self._memory_floor = max(self._memory_floor, reading)
--- a/fordtrestle/http/accept.py
+++ b/fordtrestle/http/accept.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from fordtrestle.engine.connections import Seat
+from fordtrestle.engine.connections import TableEntry
 from fordtrestle.engine.limits import Part
 from fordtrestle.http import stream
-from fordtrestle.http.listener import Guest
+from fordtrestle.http.listener import HeldConnection
 
 # Connections accepted in one turn of the loop. Guards against a flood that keeps the loop from all
 # else: what was accepted in a turn is looked at before more is.
@@ -31,10 +31,10 @@
     """What connections are accepted for, and who finds places for them."""
 
     def place(self, certain: bool, urgent: bool) -> Part | None:
-        """The book that a connection about to be accepted was entered in, or None: there is no place.
+        """The part that the descriptor of a connection about to be accepted was taken from; None: no place.
 
-        Only where it is `certain` that one waits does somebody give way, and if anybody may where it is
-        `urgent`."""
+        Only where it is `certain` that one waits is somebody evicted; where it is `urgent`, anybody may
+        be."""
 
     def accepted(self, sock: socket.socket, part: Part, waited_ms: float) -> None:
         """A connection, which may have waited for so long."""
@@ -44,7 +44,7 @@
         """How late the loop runs at this moment."""
 
     def out_of_descriptors(self) -> None:
-        """The system grants no descriptor, whatever the books say."""
+        """The system grants no descriptor, whatever the accounting says."""
 
 
 def queued(sock: socket.socket) -> tuple[int, int]:
@@ -168,21 +168,21 @@
             self.pause()
 
 
-class Newcomer:
+class PendingConnection:
     """A connection that has said nothing: a socket and no more, since most of a crowd stay so."""
 
-    __slots__ = ("_first_bytes", "_loop", "_released", "seat", "sock")
+    __slots__ = ("_first_bytes", "_loop", "_released", "entry", "sock")
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         sock: socket.socket,
-        first_bytes: Callable[[Newcomer, bytes], None],
-        released: Callable[[Guest], None],
+        first_bytes: Callable[[PendingConnection, bytes], None],
+        released: Callable[[HeldConnection], None],
     ) -> None:
         self._loop = loop
         self.sock = sock
-        self.seat: Seat[Guest]
+        self.entry: TableEntry[HeldConnection]
         self._first_bytes = first_bytes
         self._released = released
         loop.add_reader(sock.fileno(), self._ready)  # by number: a socket is described each time it is met
--- a/fordtrestle/http/call.py
+++ b/fordtrestle/http/call.py
@@ -35,7 +35,7 @@
         self.names: RequestNames | None = None  # by which its head was judged
         self.call_id = ""
         self.size = 0  # bytes that it holds for as long as it may be sent
-        self.charged = 0  # bytes in the front's book, from taking it until nothing of it is out
+        self.charged = 0  # bytes in the front's accounting, from taking it until nothing of it is out
         self._head = b""
         self._body = b""
 
--- a/fordtrestle/http/downstream.py
+++ b/fordtrestle/http/downstream.py
@@ -7,10 +7,10 @@
 
 import httptools
 
-from fordtrestle.engine.connections import Seat
+from fordtrestle.engine.connections import TableEntry
 from fordtrestle.http import requests, stream, wire
 from fordtrestle.http.call import ClientCall
-from fordtrestle.http.listener import Guest, Listener
+from fordtrestle.http.listener import HeldConnection, Listener
 from fordtrestle.http.requests import BadRequest, Message
 
 READY_PATH = "/health/ready"
@@ -19,16 +19,18 @@
 SEND_BUFFER = 128 * 1024  # bytes that the kernel may hold for a client that does not read (it doubles them)
 # An error or a close is owed within 3 s of connecting; healthy connections rest for 2 s and more.
 HALF_SENT_S = 2.0  # for the rest of a request whose first byte has come
-OWED_S = 1.5  # a request that is turned away waits so long for those before it
+OWED_S = 1.5  # a request that is rejected waits so long for those before it
 LINGER_S = 1.0  # for a client to read the last answer and to end the connection, too, once it is ended here
 
 
 class ClientConnection(stream.Reader):
     """One connection of a client, from its first byte."""
 
-    def __init__(self, front: Listener, seat: Seat[Guest], early: stream.EarlyTransport) -> None:
+    def __init__(
+        self, front: Listener, entry: TableEntry[HeldConnection], early: stream.EarlyTransport
+    ) -> None:
         self._front = front
-        self.seat = seat
+        self.entry = entry
         self._transport: asyncio.Transport | stream.EarlyTransport = early
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[ClientCall] = deque()  # in the order of their requests
@@ -47,7 +49,7 @@
         self._lost = False
         self._ended = False  # nothing more is written
         self._written = 0  # bytes of answers
-        self.held = 0  # bytes in the front's book
+        self.held = 0  # bytes in the front's accounting
 
     @property
     def idle(self) -> bool:
@@ -99,14 +101,14 @@
     def first_is_overdue(self) -> None:
         """It has not sent a whole request for longer than any healthy client takes."""
         if self._message is not None:
-            self.turn_away(408)
+            self.reject(408)
         elif not self._waiting and not self._deaf:
             self.close()
 
     def refuse_unfinished(self) -> None:
         """It is too late for the rest of a request of which half has come."""
         if self._message is not None and not self._waiting:
-            self.turn_away(503)
+            self.reject(503)
 
     def over(self, call: ClientCall) -> None:
         """Nothing of a request is out any more."""
@@ -136,9 +138,9 @@
             if self._deaf:
                 pass  # it came behind the last request that is read
             elif isinstance(cause, BadRequest):
-                self.turn_away(cause.status, str(cause))
+                self.reject(cause.status, str(cause))
             else:
-                self.turn_away(400)
+                self.reject(400)
         else:
             if self._message is not None:
                 self._bound_unfinished(data)
@@ -193,7 +195,7 @@
         self._head_bytes = self._framing = 0
         self._tail = b""
         if not self._waiting:
-            self._front.table.begin(self.seat, self._read_at)
+            self._front.table.begin(self.entry, self._read_at)
 
     def on_url(self, target: bytes) -> None:
         """Called by the parser, once or in parts."""
@@ -250,15 +252,15 @@
         self._stop_clock()
         call.keep_alive = self._parser.should_keep_alive()
         call.whole(message)
-        self._front.table.ask(self.seat, self._read_at, proves=bool(call.call_id))
+        self._front.table.ask(self.entry, self._read_at, proves=bool(call.call_id))
         self._waiting.append(call)
         if len(self._waiting) > PIPELINED_MOST:
             call.keep_alive = False
             self._deaf = True
         # What the client has waited already counts: to be accepted, or for as long as this process may
         # have stood still; but it leaves it half of its time, since its request may have come last.
-        waited_ms = max(self._late_ms, self.seat.waited_ms)
-        self.seat.waited_ms = 0.0
+        waited_ms = max(self._late_ms, self.entry.waited_ms)
+        self.entry.waited_ms = 0.0
         if waited_ms:
             waited_ms = min(waited_ms, call.budget / 2.0)
         read_at = self._read_at - waited_ms
@@ -331,9 +333,9 @@
         if self._lost or self._deaf:
             return
         if self._message is None:
-            self._front.rests(self.seat)
+            self._front.rests(self.entry)
         else:
-            self._front.table.begin(self.seat, self._front.clock.now())
+            self._front.table.begin(self.entry, self._front.clock.now())
 
     def _account(self) -> None:
         """Tell the front how many bytes are held here: unsent, unfinished, untaken, answered too early."""
@@ -347,11 +349,11 @@
         if not self._front.hold(self, size, self._message is not None) and not self._deaf:
             # Guards against memory without bound: what it sends is not taken, what it does not read is cut.
             if self._message is not None:
-                self.turn_away(503)
+                self.reject(503)
             else:
                 self.abort()
 
-    def turn_away(self, status: int, text: str = "") -> None:
+    def reject(self, status: int, text: str = "") -> None:
         """Answer what can't be read on from; requests before it are answered first, for a while."""
         if self._deaf:
             return
@@ -360,7 +362,7 @@
         head_only = self._message is not None and self._message.method == "HEAD"
         self._message = self._call = None
         self._deaf = True
-        self._front.table.turn_away(self.seat, self._front.clock.now())
+        self._front.table.reject(self.entry, self._front.clock.now())
         self._stop_clock()
         self._waiting.append(call)
         call.answer = (status, [], f"{text}\n".encode("latin-1") if text and not head_only else b"")
@@ -369,7 +371,7 @@
             self._clock = self._front.loop.call_later(OWED_S, self.fail_waiting)
 
     def fail_waiting(self) -> None:
-        """Fail what is not answered: it stands before a request that is turned away, which is owed its answer
+        """Fail what is not answered: it stands before a request that is rejected, which is owed its answer
         soon, or it has outlasted its time as the process ends."""
         self._untaken.clear()
         for call in list(self._waiting):
@@ -388,7 +390,7 @@
 
         Guards against a reset that takes the answer with it, by bytes that come just as it is closed."""
         self._deaf = True
-        self._front.table.turn_away(self.seat, self._front.clock.now())
+        self._front.table.reject(self.entry, self._front.clock.now())
         self._stop_clock()
         self._untaken.clear()
         self._ended = True
@@ -412,20 +414,20 @@
         if not message.judged:
             self._head_bytes += len(data)
             if self._head_bytes > 2 * wire.MAX_HEAD:
-                self.turn_away(431)
+                self.reject(431)
                 return
             raw = self._tail + data
             if message.speaks_other(raw):
-                self.turn_away(505)
+                self.reject(505)
                 return
             self._tail = raw[-2 * requests.TAIL :]
         elif not self._whole_in_chunk:  # what else is in these bytes is not known
             self._framing += len(data)
             if self._framing - len(message.body) > 2 * wire.MAX_HEAD:
-                self.turn_away(400)  # chunk extensions or trailers without end
+                self.reject(400)  # chunk extensions or trailers without end
                 return
         if self._clock is None:
-            self._clock = self._front.loop.call_later(HALF_SENT_S, self.turn_away, 408)
+            self._clock = self._front.loop.call_later(HALF_SENT_S, self.reject, 408)
 
     def _stop_clock(self) -> None:
         if self._clock is not None:
--- a/fordtrestle/http/front.py
+++ b/fordtrestle/http/front.py
@@ -9,22 +9,22 @@
 from dataclasses import dataclass
 
 from fordtrestle.engine.clock import Clock
-from fordtrestle.engine.connections import ConnectionTable, Seat, Standing, TableOptions
+from fordtrestle.engine.connections import ConnectionTable, Standing, TableEntry, TableOptions
 from fordtrestle.engine.lag import LagMeter
 from fordtrestle.engine.limits import Budget, Part
 from fordtrestle.engine.log import log
 from fordtrestle.engine.ports import Address
 from fordtrestle.http import requests, stream
-from fordtrestle.http.accept import Acceptor, Newcomer, queued
+from fordtrestle.http.accept import Acceptor, PendingConnection, queued
 from fordtrestle.http.call import ClientCall
 from fordtrestle.http.downstream import SEND_BUFFER, ClientConnection
-from fordtrestle.http.listener import Guest, Taker
+from fordtrestle.http.listener import HeldConnection, Taker
 from fordtrestle.http.requests import BadRequest, Message, RequestNames
 
 BACKLOG = 1024
 SWEEP_S = 0.2
 QUEUED_S = 0.5  # for accepting what is queued as the process ends; it goes on while there is any
-DISMISSED_MOST = 8  # connections closed to find a place for one
+EVICTED_MOST = 8  # connections evicted to find a place for one
 STALLED_MS = 3000.0  # a client that takes nothing of what is written to it for so long is cut
 STUCK_MOST_MS = 10_000.0  # and one that reads on but has not read all in this time
 CUT_MOST = 8  # such clients cut to find room for one more
@@ -59,7 +59,7 @@
         options: FrontOptions,
         taker: Taker,
         budget: Budget,
-        spare: Part,
+        reserve: Part,
         lag: LagMeter,
     ) -> None:
         self.loop = loop
@@ -72,12 +72,12 @@
         self.note: Callable[[ClientCall], None] | None = None  # told of each whole request
         self.budget = budget
         # Descriptors for connections at the limit: each whole request there is answered, with 503.
-        self.spare = spare
+        self.reserve = reserve
         self._names = options.names
         self._retry_after_ms = options.retry_after_ms
-        self.table: ConnectionTable[Guest] = ConnectionTable(TableOptions(options.clients_most))
+        self.table: ConnectionTable[HeldConnection] = ConnectionTable(TableOptions(options.clients_most))
         self._calls: set[str] = set()  # identities of requests of which something is open
-        self._seated: dict[Guest, Part] = {}  # whose descriptor is in which book
+        self._parts: dict[HeldConnection, Part] = {}  # which part its descriptor is taken from
         # Whose client does not read, the longest first.
         self._stuck: dict[ClientConnection, Stuck] = {}
         self.unread: dict[ClientConnection, None] = {}  # of whom nothing is read at present
@@ -85,7 +85,7 @@
         self._starting: set[asyncio.Task[None]] = set()
         self._sweeping: asyncio.TimerHandle | None = None
         self._acceptors: list[Acceptor] = []
-        budget.descriptors.reclaim = self._give_way
+        budget.descriptors.reclaim = self._reclaim
         budget.buffered.reclaim = self._cut
 
     async def listen(self, sock: socket.socket) -> Address:
@@ -129,21 +129,21 @@
         self.close_idle()
 
     def close_idle(self) -> None:
-        """Close what stands between requests. A newcomer's first may be on its way, and half of one may
+        """Close what stands between requests. A pending one's first may be on its way, and half of one may
         become whole: they have until no more are taken."""
         over = self.clock.now() > self._last_ms
-        for seat in self.table:
-            guest = seat.holder
-            if over and isinstance(guest, ClientConnection):
-                guest.refuse_unfinished()
-            if guest.idle and (over or not isinstance(guest, Newcomer)):
-                guest.close()
+        for entry in self.table:
+            connection = entry.holder
+            if over and isinstance(connection, ClientConnection):
+                connection.refuse_unfinished()
+            if connection.idle and (over or not isinstance(connection, PendingConnection)):
+                connection.close()
 
     def fail_waiting(self) -> None:
         """Answer what is not answered in its time, whatever has kept it."""
-        for seat in self.table:
-            if isinstance(seat.holder, ClientConnection):
-                seat.holder.fail_waiting()
+        for entry in self.table:
+            if isinstance(entry.holder, ClientConnection):
+                entry.holder.fail_waiting()
 
     @property
     def accepting(self) -> bool:
@@ -161,37 +161,37 @@
             self._sweeping.cancel()
         for acceptor in self._acceptors:
             acceptor.close()
-        for seat in self.table:
-            self._dismiss(seat)
+        for entry in self.table:
+            self._evict(entry)
 
     # --- connections ------------------------------------------------------------
 
     def place(self, certain: bool, urgent: bool) -> Part | None:
-        """The book that a connection about to be accepted was entered in: at the most, who is worth least
-        gives way, or it is one that can only be told so, or there is no place."""
+        """The part that the descriptor of a connection about to be accepted was taken from: at the most, who
+        is worth least is evicted, or it is one that can only be told so, or there is no place."""
         descriptors = self.budget.descriptors
         if not certain:
             return descriptors if descriptors.take_free() else None
         if descriptors.take() or self._make_room(urgent):
             return descriptors
-        return self.spare if self.spare.take_free() else None
+        return self.reserve if self.reserve.take_free() else None
 
     def accepted(self, sock: socket.socket, part: Part, waited_ms: float) -> None:
         """A new connection, which may have waited for so long."""
-        guest = Newcomer(self.loop, sock, self._first_bytes, self.released)
-        guest.seat = self.table.open(guest, self.clock.now(), waited_ms)
-        self._seated[guest] = part
+        connection = PendingConnection(self.loop, sock, self._first_bytes, self.released)
+        connection.entry = self.table.open(connection, self.clock.now(), waited_ms)
+        self._parts[connection] = part
         self.wake()
         if self._sweeping is None:
             self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
-    def _first_bytes(self, newcomer: Newcomer, data: bytes) -> None:
-        """It is no longer silent. What these bytes ask is judged first, and turned away or taken: a
+    def _first_bytes(self, pending: PendingConnection, data: bytes) -> None:
+        """It is no longer silent. What these bytes ask is judged first, and rejected or taken: a
         transport is made only for what is not over with that."""
-        early = stream.EarlyTransport(newcomer.sock)
-        connection = ClientConnection(self, newcomer.seat, early)
-        newcomer.seat.holder = connection
-        self._seated[connection] = self._seated.pop(newcomer)
+        early = stream.EarlyTransport(pending.sock)
+        connection = ClientConnection(self, pending.entry, early)
+        pending.entry.holder = connection
+        self._parts[connection] = self._parts.pop(pending)
         connection.data_received(data)
         if self._ended_early(connection, early):
             return
@@ -220,66 +220,66 @@
             connection.connection_lost(None)
 
     def _make_room(self, urgent: bool = False) -> bool:
-        """Have another give way, whose descriptor is taken over; whether one did. Who only stands at the
+        """Evict another, whose descriptor is taken over; whether there was one. Who only stands at the
         limit leaves no place: then the next one goes, too."""
-        most = DISMISSED_MOST
+        most = EVICTED_MOST
         while most:
-            seat = self.table.victim(self.clock.now(), _quiet, urgent)
-            if seat is None:
+            entry = self.table.victim(self.clock.now(), _quiet, urgent)
+            if entry is None:
                 return False
-            if seat.standing is not Standing.TURNED_AWAY or self._seated.get(seat.holder) is not self.spare:
+            if entry.standing is not Standing.REJECTED or self._parts.get(entry.holder) is not self.reserve:
                 most -= 1  # one that lingers at the limit is answered and ended: it costs nobody anything
-            self._dismiss(seat)
+            self._evict(entry)
             if self.budget.descriptors.take():
                 return True
         return False
 
-    def _give_way(self, count: int) -> None:
-        """Others of the process hold less than is fair: so many here give way, as far as they may."""
+    def _reclaim(self, count: int) -> None:
+        """Others of the process hold less than is fair: so many here are evicted, as far as they may be."""
         until = self.budget.descriptors.held - count
-        for _ in range(count + DISMISSED_MOST):
+        for _ in range(count + EVICTED_MOST):
             if self.budget.descriptors.held <= until:
                 return
-            seat = self.table.victim(self.clock.now(), _quiet)
-            if seat is None:
+            entry = self.table.victim(self.clock.now(), _quiet)
+            if entry is None:
                 return
-            self._dismiss(seat)
+            self._evict(entry)
 
     def out_of_descriptors(self) -> None:
-        """The system grants none, whatever the books say: the next connection finds one free."""
-        seat = self.table.victim(self.clock.now(), _quiet, urgent=True)
-        if seat is not None:
-            self._dismiss(seat)
+        """The system grants none, whatever the accounting says: the next connection finds one free."""
+        entry = self.table.victim(self.clock.now(), _quiet, urgent=True)
+        if entry is not None:
+            self._evict(entry)
 
-    def _dismiss(self, seat: Seat[Guest]) -> None:
+    def _evict(self, entry: TableEntry[HeldConnection]) -> None:
         """Close a connection; its place and its descriptor are free at once."""
-        guest = seat.holder
-        self.released(guest)
-        guest.abort()
+        connection = entry.holder
+        self.released(connection)
+        connection.abort()
 
-    def released(self, guest: Guest) -> None:
+    def released(self, connection: HeldConnection) -> None:
         """Its socket is closed, or about to be."""
-        self.table.close(guest.seat)
-        part = self._seated.pop(guest, None)
+        self.table.close(connection.entry)
+        part = self._parts.pop(connection, None)
         if part is not None:
             part.give()
             for acceptor in self._acceptors:
                 acceptor.resume()
-        if isinstance(guest, ClientConnection):
-            self._stuck.pop(guest, None)
-            self.unread.pop(guest, None)
-            self._halves.pop(guest, None)
+        if isinstance(connection, ClientConnection):
+            self._stuck.pop(connection, None)
+            self.unread.pop(connection, None)
+            self._halves.pop(connection, None)
 
     def _sweep(self) -> None:
         """Guards against connections that never ask, or not to the end, that rest for good or never read, and
         against those that are not read from, of whose end the loop does not tell."""
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep) if len(self.table) else None
         now = self.clock.now()
-        for seat in self.table.overdue(now):
-            seat.holder.first_is_overdue()
-        for seat in self.table.rested(now):
-            if seat.holder.idle:
-                seat.holder.close()
+        for entry in self.table.overdue(now):
+            entry.holder.first_is_overdue()
+        for entry in self.table.rested(now):
+            if entry.holder.idle:
+                entry.holder.close()
         for connection in list(self.unread):
             connection.has_left()
         for connection, stuck in list(self._stuck.items()):
@@ -289,10 +289,10 @@
             if now - stuck.since_ms >= STALLED_MS or now - stuck.stuck_ms >= STUCK_MOST_MS:
                 connection.abort()
 
-    def rests(self, seat: Seat[Guest]) -> None:
+    def rests(self, entry: TableEntry[HeldConnection]) -> None:
         """All that a connection asked is answered."""
         now = self.clock.now()
-        self.table.rest(seat, now)
+        self.table.rest(entry, now)
         too_many = self.table.one_too_many(now, _quiet)
         if too_many is not None:
             too_many.holder.close()
@@ -324,8 +324,8 @@
         return True
 
     def _take_bytes(self, count: int) -> bool:
-        """Take from the book; in shortage, cut who has not read for longest, then turn away who has sent half
-        of a request and no more for longest."""
+        """Take them into account; in shortage, cut who has not read for longest, then reject who has
+        sent half of a request and no more for longest."""
         if self.budget.buffered.take(count):
             return True
         for _ in range(CUT_MOST):
@@ -354,7 +354,7 @@
         if connection is None:
             return False
         self.hold(connection, 0)
-        connection.turn_away(503)
+        connection.reject(503)
         return True
 
     # --- requests -----------------------------------------------------------------
@@ -402,18 +402,18 @@
         """Whether a connection has a place, or gets one now; one that has none ends with its answer.
 
         Guards against cutting a client off at the limit: it is told, and told when to come back."""
-        if self._seated.get(connection) is not self.spare:
+        if self._parts.get(connection) is not self.reserve:
             return True
-        # It has asked: a newcomer that has not is worth less, however new.
+        # It has asked: a pending connection that has not is worth less, however new.
         if not self.budget.descriptors.take() and not self._make_room(urgent=True):
             connection.end_with_this()
             return False
-        self.spare.give()
-        self._seated[connection] = self.budget.descriptors
+        self.reserve.give()
+        self._parts[connection] = self.budget.descriptors
         return True
 
     def _charge(self, call: ClientCall) -> bool:
-        """Enter a call in the books; whether there is room for it."""
+        """Account for a call; whether there is room for it."""
         if not self.budget.calls.take():
             return False
         if not self._take_bytes(call.size):
@@ -431,5 +431,5 @@
             call.charged = 0
 
 
-def _quiet(guest: Guest) -> bool:
-    return guest.quiet
+def _quiet(connection: HeldConnection) -> bool:
+    return connection.quiet
--- a/fordtrestle/http/listener.py
+++ b/fordtrestle/http/listener.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from fordtrestle.engine.clock import Clock
-from fordtrestle.engine.connections import ConnectionTable, Seat
+from fordtrestle.engine.connections import ConnectionTable, TableEntry
 from fordtrestle.engine.driver import OpenRequest
 from fordtrestle.engine.lag import LagMeter
 from fordtrestle.http.call import ClientCall
@@ -33,11 +33,11 @@
     clock: Clock
     taker: Taker
     draining: bool
-    table: ConnectionTable[Guest]
+    table: ConnectionTable[HeldConnection]
     lag: LagMeter
     unread: dict[ClientConnection, None]  # of whom nothing is read at present
 
-    def rests(self, seat: Seat[Guest]) -> None:
+    def rests(self, entry: TableEntry[HeldConnection]) -> None:
         """All that a connection asked is answered."""
 
     def read(self, call: ClientCall, message: Message) -> None:
@@ -59,14 +59,14 @@
     def flowing(self, connection: ClientConnection) -> None:
         """It has read all of it."""
 
-    def released(self, guest: Guest) -> None:
+    def released(self, connection: HeldConnection) -> None:
         """Its socket is closed."""
 
 
-class Guest(Protocol):
+class HeldConnection(Protocol):
     """A client's connection, before or after its first byte."""
 
-    seat: Seat[Guest]
+    entry: TableEntry[HeldConnection]
 
     @property
     def idle(self) -> bool:
--- a/fordtrestle/http/pool.py
+++ b/fordtrestle/http/pool.py
@@ -59,7 +59,7 @@
         self._opening: dict[asyncio.Task[None], UpstreamServer] = {}
         self.settle(options)
         self.budget = budget
-        budget.descriptors.reclaim = self._give_way
+        budget.descriptors.reclaim = self._reclaim
         self._idle: dict[UpstreamConnection, None] = {}  # of all servers, the longest first
         self._connections: set[UpstreamConnection] = set()
         self._looking: asyncio.TimerHandle | None = None
@@ -352,7 +352,7 @@
         self._retire(next(iter(self._idle)))
         return True
 
-    def _give_way(self, count: int) -> None:
+    def _reclaim(self, count: int) -> None:
         """Others of the process hold less than is fair: so many idle connections are closed, if there are."""
         while count > 0 and self._close_oldest():
             count -= 1
--- a/fordtrestle/http/stream.py
+++ b/fordtrestle/http/stream.py
@@ -81,7 +81,7 @@
 class EarlyTransport:
     """Stands in for a connection's transport until one is worth its cost: what is written is kept.
 
-    A transport costs more than all else of a request that is turned away, and most of a crowd's are: such
+    A transport costs more than all else of a request that is rejected, and most of a crowd's are: such
     a connection ends here, with none."""
 
     def __init__(self, sock: socket.socket) -> None:
--- a/fordtrestle/http/upstream.py
+++ b/fordtrestle/http/upstream.py
@@ -112,7 +112,7 @@
         self._exchange: UpstreamExchange | None = None
         self._written = True
         self._made = self.lost = False
-        self.held = 0  # bytes in the pool's book
+        self.held = 0  # bytes in the pool's accounting
 
     def begin(self, exchange: UpstreamExchange, message: bytes) -> None:
         """Write a request; it is written once the kernel has its last byte."""
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -397,7 +397,7 @@
     more = '[front.{0}]\nprotocol = "http"\nlisten = "127.0.0.1:0"\nservice = "shop"\n'
     text = GOOD + more.format("b") + "guaranteed_share = 0.24\n" + more.format("c")
     told = operator.read(written(tmp_path, text + "[limits]\nopen_calls_most = 9\n"))
-    limits = told.limits.books(1024)
+    limits = told.limits.ledgers(1024)
     parts = {name: budget(limits, name, options.front_share(told, name)) for name in told.fronts}
     parts["servers"] = budget(limits, "servers", options.upstream_share(told))
     guaranteed = {name: part.descriptors.guaranteed for name, part in parts.items()}
@@ -417,8 +417,8 @@
     ("memory_mb", "buffered"), [(None, 256 * 2**20), (32, 4 * 2**20), (96, 24 * 2**20), (192, 56 * 2**20)]
 )
 def test_what_may_be_buffered_follows_from_the_memory_unless_it_is_said(memory_mb, buffered):
-    assert LimitsOptions(memory_mb=memory_mb).books(100).buffered.capacity == buffered
-    assert LimitsOptions(memory_mb=memory_mb, buffered_bytes_most=7).books(100).buffered.capacity == 7
+    assert LimitsOptions(memory_mb=memory_mb).ledgers(100).buffered.capacity == buffered
+    assert LimitsOptions(memory_mb=memory_mb, buffered_bytes_most=7).ledgers(100).buffered.capacity == 7
 
 
 PEERS = '[peers]\nlisten = "127.0.0.1:7"\nme = 1\nat = ["127.0.0.1:8", "127.0.0.1:7"]\n'
--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -92,7 +92,7 @@
         drain = asyncio.create_task(sidecar.drain())
         await asyncio.sleep(process.STILL_TAKE_S - process.STILL_LISTEN_S + 3 * process.POLL_S)
         app.writer.write(whole[-2:])
-        await until(lambda: any(len(seat.holder._waiting) == 2 for seat in sidecar.front.table))
+        await until(lambda: any(len(entry.holder._waiting) == 2 for entry in sidecar.front.table))
         release.set()
         assert [status_of(await app.answer()) for _ in range(2)] == [200, 503]
         await drain
@@ -168,7 +168,7 @@
 
 @loopback
 async def test_a_client_that_does_not_read_its_answer_does_not_keep_a_process_from_ending(monkeypatch):
-    """What it has not taken LAST_BYTES_S past the last answer is cut, and nothing stays in the books."""
+    """What it has not taken LAST_BYTES_S past the last answer is cut, and nothing stays in the ledgers."""
     monkeypatch.setattr(front, "SEND_BUFFER", 4096)
     large = b"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + b"x" * 65536
     upstream = await Upstream([large]).start()
--- a/tests/daemon/test_overload.py
+++ b/tests/daemon/test_overload.py
@@ -267,14 +267,14 @@
 
 def test_under_pressure_who_rests_is_closed_sooner():
     made = ConnectionTable(TableOptions(100, hurried_rest_ms=500.0, crowded_rest_ms=2000.0))
-    seats = [made.open(name, 0.0) for name in ("once", "often")]
-    for seat, asks in zip(seats, (1, 5), strict=True):
+    entries = [made.open(name, 0.0) for name in ("once", "often")]
+    for entry, asks in zip(entries, (1, 5), strict=True):
         for _ in range(asks):
-            made.ask(seat, 0.0)
-            made.rest(seat, 0.0)
+            made.ask(entry, 0.0)
+            made.rest(entry, 0.0)
     assert made.rested(1000.0) == []
     made.hurried = True
-    assert made.rested(1000.0) == seats[:1] and made.rested(2000.0) == seats
+    assert made.rested(1000.0) == entries[:1] and made.rested(2000.0) == entries
 
 
 @loopback
--- a/tests/engine/test_connections.py
+++ b/tests/engine/test_connections.py
@@ -1,4 +1,4 @@
-"""Who gives way when places run short: each connection's past decides, at a cost that does not grow."""
+"""Who is evicted when places run short: each connection's past decides, at a cost that does not grow."""
 
 from __future__ import annotations
 
@@ -21,23 +21,23 @@
 
 def asked(made, name, times, now, rests=True):
     """A connection that has asked so often, and is at rest from `now`, or in a call."""
-    seat = made.open(name, now)
+    entry = made.open(name, now)
     for _ in range(times):
-        made.begin(seat, now)
-        made.ask(seat, now)
-        made.rest(seat, now)
+        made.begin(entry, now)
+        made.ask(entry, now)
+        made.rest(entry, now)
     if not rests:
-        made.begin(seat, now)
-        made.ask(seat, now)
-    return seat
+        made.begin(entry, now)
+        made.ask(entry, now)
+    return entry
 
 
-def given_way(made, now, **how):
-    """All who give way, in their order, until nobody is left to."""
+def evicted(made, now, **how):
+    """All who are evicted, in their order, until nobody is left to be."""
     order = []
-    while (seat := made.victim(now, always, **how)) is not None:
-        order.append(seat.holder)
-        made.close(seat)
+    while (entry := made.victim(now, always, **how)) is not None:
+        order.append(entry.holder)
+        made.close(entry)
     return order
 
 
@@ -50,50 +50,50 @@
     made.open("silent", 20_000.0)
     half = made.open("half a request", 20_000.0)
     made.begin(half, 20_000.0)
-    away = made.open("turned away", 20_010.0)
-    made.turn_away(away, 20_010.0)
+    away = made.open("rejected", 20_010.0)
+    made.reject(away, 20_010.0)
     made.open("just connected", 20_150.0)
-    order = ["turned away", "silent", "half a request", "left long ago", "once", "a few", "often"]
-    assert given_way(made, 20_200.0) == order
-    assert sorted(seat.holder for seat in made) == ["in a call", "just connected"]
+    order = ["rejected", "silent", "half a request", "left long ago", "once", "a few", "often"]
+    assert evicted(made, 20_200.0) == order
+    assert sorted(entry.holder for entry in made) == ["in a call", "just connected"]
 
 
-def test_a_newcomer_gives_way_only_when_it_is_urgent_and_the_oldest_first():
+def test_a_pending_connection_is_evicted_only_when_it_is_urgent_and_the_oldest_first():
     made = table()
     made.open("first", 0.0)
     made.open("second", 10.0)
     assert made.victim(50.0, always) is None
-    assert given_way(made, 50.0, urgent=True) == ["first", "second"]
+    assert evicted(made, 50.0, urgent=True) == ["first", "second"]
 
 
-def test_a_newcomer_gets_as_long_to_ask_as_clients_were_seen_to_take_within_bounds():
+def test_a_pending_connection_gets_as_long_to_ask_as_clients_were_seen_to_take_within_bounds():
     made = table()
     assert made.patience_ms == 100.0
 
     def comes_back(name, took):
-        seat = made.open(name, 0.0)
+        entry = made.open(name, 0.0)
         for now in (took, took + 100.0):
-            made.ask(seat, now)
-            made.rest(seat, now)
-        made.close(seat)
+            made.ask(entry, now)
+            made.rest(entry, now)
+        made.close(entry)
 
     for number in range(50):
         made.ask(made.open(f"once {number}", 0.0), 900.0)
     assert made.patience_ms == 100.0  # a crowd does not buy itself time: only who comes back teaches it
-    for seat in made:
-        made.close(seat)
+    for entry in made:
+        made.close(entry)
     for number in range(50):
         comes_back(f"slow {number}", 300.0 + number % 2)
     assert 300.0 < made.patience_ms < 330.0
-    seat = made.open("newcomer", 1000.0)
-    assert made.victim(1250.0, lambda holder: holder == "newcomer") is None
-    assert made.victim(1400.0, always) is seat
+    entry = made.open("pending", 1000.0)
+    assert made.victim(1250.0, lambda holder: holder == "pending") is None
+    assert made.victim(1400.0, always) is entry
     for _ in range(50):
         comes_back("dreadful", 60_000.0)
     assert made.patience_ms == 1000.0
 
 
-def test_whoever_holds_something_unread_does_not_give_way():
+def test_whoever_holds_something_unread_is_not_evicted():
     made = table()
     for name in ("unread", "quiet"):
         asked(made, name, 1, 0.0)
@@ -109,35 +109,35 @@
     assert looked == list(range(8))
 
 
-@pytest.mark.parametrize("kind", ["silent", "half of the first", "half of a later one", "turned away"])
+@pytest.mark.parametrize("kind", ["silent", "half of the first", "half of a later one", "rejected"])
 def test_nobody_hides_behind_some_that_always_have_something_unread(kind):
     """Guards against a few that trickle bytes: each look would be spent on them, and others refused."""
     made = table(look_most=8)
     for number in range(20):
-        seat = (
+        entry = (
             asked(made, f"trickles {number}", 1, 0.0)
             if "later" in kind
             else made.open(f"trickles {number}", 0.0)
         )
         if "half" in kind:
-            made.begin(seat, 0.0)
-        if kind == "turned away":
-            made.turn_away(seat, 0.0)
+            made.begin(entry, 0.0)
+        if kind == "rejected":
+            made.reject(entry, 0.0)
     asked(made, "at rest", 1, 15_000.0)
     asked(made, "left long ago", 9, 0.0)
     found = [made.victim(20_000.0, lambda holder: "trickles" not in holder) for _ in range(4)]
-    assert [seat.holder for seat in found if seat is not None][:1] == ["left long ago"]
-    for seat in list(made):  # and they are told in time all the same
-        if seat.asks == 0 and seat.standing is not Standing.TURNED_AWAY:
-            assert seat in made.overdue(20_000.0)
+    assert [entry.holder for entry in found if entry is not None][:1] == ["left long ago"]
+    for entry in list(made):  # and they are told in time all the same
+        if entry.asks == 0 and entry.standing is not Standing.REJECTED:
+            assert entry in made.overdue(20_000.0)
 
 
 def test_half_of_a_later_request_keeps_a_place_no_longer_than_half_of_the_first():
     made = table()
-    seat = asked(made, "once, and a byte", 1, 0.0)
-    made.begin(seat, 10.0)
+    entry = asked(made, "once, and a byte", 1, 0.0)
+    made.begin(entry, 10.0)
     assert made.victim(50.0, always) is None
-    assert made.victim(110.0, always) is seat
+    assert made.victim(110.0, always) is entry
 
 
 def test_several_requests_at_once_and_asking_for_readiness_prove_nothing():
@@ -152,13 +152,13 @@
         made.ask(prober, 0.0, proves=False)
         made.rest(prober, 0.0)
     asked(made, "twice", 2, 0.0)
-    assert given_way(made, 50.0) == ["four at once", "asks whether it is ready", "twice"]
+    assert evicted(made, 50.0) == ["four at once", "asks whether it is ready", "twice"]
 
 
 def test_what_is_closed_refers_to_nothing():
     made = table()
-    seat = made.open("gone", 0.0)
-    assert made.close(seat) and not hasattr(seat, "holder")
+    entry = made.open("gone", 0.0)
+    assert made.close(entry) and not hasattr(entry, "holder")
 
 
 def test_more_who_asked_once_do_not_rest_than_half_of_what_clients_may_hold():
@@ -194,7 +194,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["open", "begin", "ask", "rest", "turn away", "close", "victim", "urgent", "rested"]),
+        st.sampled_from(["open", "begin", "ask", "rest", "reject", "close", "victim", "urgent", "rested"]),
         st.integers(0, 11),
         st.floats(0.0, 900.0),
     ),
@@ -203,56 +203,56 @@
 
 
 @given(STEPS)
-def test_over_any_order_of_steps_each_seat_is_in_its_one_queue(steps):
-    made, seats, now = table(), {}, 0.0
+def test_over_any_order_of_steps_each_entry_is_in_its_one_queue(steps):
+    made, entries, now = table(), {}, 0.0
     met = set()
     for step, number, passed in steps:
         now += passed
-        seat = seats.get(number)
-        if step == "open" and (seat is None or seat not in made._seats):
-            seats[number] = made.open(number, now)
+        entry = entries.get(number)
+        if step == "open" and (entry is None or entry not in made._entries):
+            entries[number] = made.open(number, now)
         elif step in ("victim", "urgent"):
             found = made.victim(now, lambda holder: holder % 3 > 0, urgent=step == "urgent")
             if found is not None:
                 assert found.standing is not Standing.IN_CALL
                 assert found.holder % 3 > 0
-                if found.asks == 0 and step == "victim" and found.standing is not Standing.TURNED_AWAY:
+                if found.asks == 0 and step == "victim" and found.standing is not Standing.REJECTED:
                     assert now - found.opened_ms >= 100.0
                 assert made.close(found)
-                seats = {name: seat for name, seat in seats.items() if seat is not found}
+                entries = {name: entry for name, entry in entries.items() if entry is not found}
         elif step == "rested":
             assert all(found.standing is Standing.AT_REST for found in made.rested(now))
-        elif seat is not None and step != "open":
-            do = {"begin": made.begin, "ask": made.ask, "rest": made.rest, "turn away": made.turn_away}
+        elif entry is not None and step != "open":
+            do = {"begin": made.begin, "ask": made.ask, "rest": made.rest, "reject": made.reject}
             if step == "close":
-                made.close(seat)
-                del seats[number]
+                made.close(entry)
+                del entries[number]
             else:
-                do[step](seat, now)
-        met |= {seat.standing for seat in made}
-        queues = [made._away, made._unasked, made._half, made._vain, *made._rest]
-        for seat in made:
-            held = [queue for queue in queues if seat in queue]
-            assert len(held) == (seat.standing is not Standing.IN_CALL)
+                do[step](entry, now)
+        met |= {entry.standing for entry in made}
+        queues = [made._rejected, made._unasked, made._half, made._vain, *made._rest]
+        for entry in made:
+            held = [queue for queue in queues if entry in queue]
+            assert len(held) == (entry.standing is not Standing.IN_CALL)
         assert sum(map(len, queues)) <= len(made)
         for queue in made._rest:
-            since = [seat.since_ms for seat in queue]
+            since = [entry.since_ms for entry in queue]
             assert since == sorted(since)
 
 
 def test_every_standing_is_reached_and_left():
     made = table()
-    seat = made.open("one", 0.0)
-    met = [seat.standing]
-    for step in (made.begin, made.ask, made.begin, made.ask, made.rest, made.begin, made.ask, made.turn_away):
-        step(seat, 1.0)
-        met.append(seat.standing)
+    entry = made.open("one", 0.0)
+    met = [entry.standing]
+    for step in (made.begin, made.ask, made.begin, made.ask, made.rest, made.begin, made.ask, made.reject):
+        step(entry, 1.0)
+        met.append(entry.standing)
     assert set(met) == set(Standing)
-    assert met[-1] is Standing.TURNED_AWAY
-    made.ask(seat, 2.0)  # what comes after is no request
-    made.rest(seat, 2.0)
-    assert seat.standing is Standing.TURNED_AWAY
-    assert made.close(seat) and not made.close(seat) and len(made) == 0
+    assert met[-1] is Standing.REJECTED
+    made.ask(entry, 2.0)  # what comes after is no request
+    made.rest(entry, 2.0)
+    assert entry.standing is Standing.REJECTED
+    assert made.close(entry) and not made.close(entry) and len(made) == 0
 
 
 @pytest.mark.parametrize("kind", ["silent", "once", "often"])
--- a/tests/engine/test_limits.py
+++ b/tests/engine/test_limits.py
@@ -1,4 +1,4 @@
-"""The ledger: never over, nothing leaks, guarantees are kept, and who holds too much gives way."""
+"""The ledger: never over, nothing leaks, guarantees are kept, and who holds too much gives back."""
 
 from __future__ import annotations
 
@@ -100,7 +100,7 @@
 
 def test_what_is_free_can_be_taken_without_taking_from_others():
     ledger, front, pool = two()
-    front.reclaim = lambda count: pytest.fail("asked to give way")
+    front.reclaim = lambda count: pytest.fail("asked to give back")
     assert front.take(70) and pool.take(30)
     assert not pool.take_free()
     front.give()
--- a/tests/http/test_accept.py
+++ b/tests/http/test_accept.py
@@ -1,4 +1,4 @@
-"""Accepting at the limit: nobody is cut off, who is worth least gives way, and a wait counts."""
+"""Accepting at the limit: nobody is cut off, who is worth least is evicted, and a wait counts."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
     return int(answer.start.split(" ")[1])
 
 
-def tight(sidecar, places, spare=1):
+def tight(sidecar, places, reserve=1):
     """So few places for clients, and so few at the limit, whatever servers have."""
     sidecar.front.budget = Limits(places, 2**20, 1000).budget("clients")
-    sidecar.front.spare = Limits(spare, 0, 0).descriptors.part("at the limit")
+    sidecar.front.reserve = Limits(reserve, 0, 0).descriptors.part("at the limit")
 
 
 def until_event(event):
@@ -81,11 +81,11 @@
         busy.send()
         await until(lambda: upstream.seen)
         late = await App.connect(sidecar.address)
-        await until(lambda: sidecar.front.spare.held == 1)
+        await until(lambda: sidecar.front.reserve.held == 1)
         release.set()
         assert status_of(await busy.answer()) == 200
-        assert status_of(await late.ask()) == 200  # the other is at rest, and gives way
-        assert sidecar.front.spare.held == 0
+        assert status_of(await late.ask()) == 200  # the other is at rest, and is evicted
+        assert sidecar.front.reserve.held == 0
 
 
 @loopback
@@ -94,7 +94,7 @@
     upstream = await Upstream([until_event(release)]).start()
     module = Scripted()
     async with running(upstream, balancer=module) as sidecar:
-        tight(sidecar, places=2, spare=0)
+        tight(sidecar, places=2, reserve=0)
         busy = [await App.connect(sidecar.address) for _ in range(2)]
         for app in busy:
             app.send()
@@ -112,7 +112,7 @@
         ((arrival,),) = module.named("request")[-1:]
         left = arrival.give_up_at - sidecar.driver._clock.now()
         assert left < 2000.0 - 100.0
-        assert sidecar.front._seated and acceptor._pause is None
+        assert sidecar.front._parts and acceptor._pause is None
 
 
 @pytest.mark.parametrize("sent", [b"", b"POST /pay HTT", partners.request("POST", "/pay", b"hello")[:-2]])
@@ -140,7 +140,7 @@
 async def test_a_newcomer_is_closed_only_if_the_next_has_waited_for_as_long_as_it_may():
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
-        tight(sidecar, places=2, spare=0)
+        tight(sidecar, places=2, reserve=0)
         patient = TableOptions(clients_most=9, patience_least_ms=60_000.0, patience_most_ms=60_000.0)
         sidecar.front.table = ConnectionTable(patient)
         loop = asyncio.get_running_loop()
@@ -184,7 +184,7 @@
         good.send()
         await asyncio.sleep(0.3)
         assert 2 <= sock.asked <= 8  # one each 50 ms
-        assert await resting.answer() is None  # it gave way
+        assert await resting.answer() is None  # it was evicted
         sock.refuses = False
         assert status_of(await good.answer()) == 200
 
@@ -201,7 +201,7 @@
         await until(lambda: sidecar.front.empty and module.named("request"))
         await until(lambda: sidecar.limits.descriptors.held == sidecar.pool.budget.descriptors.held)
         assert sidecar.front.budget.descriptors.held == 0
-        assert not sidecar.front._seated and not sidecar.front._starting
+        assert not sidecar.front._parts and not sidecar.front._starting
 
 
 @loopback
@@ -210,17 +210,17 @@
     release = asyncio.Event()
     upstream = await Upstream([until_event(release), OK]).start()
     async with running(upstream) as sidecar:
-        tight(sidecar, places=1, spare=20)
+        tight(sidecar, places=1, reserve=20)
         busy = await App.connect(sidecar.address)
         busy.send()
         await until(lambda: upstream.seen)
         late = [await App.connect(sidecar.address) for _ in range(20)]
-        await until(lambda: sidecar.front.spare.held == 20)
+        await until(lambda: sidecar.front.reserve.held == 20)
         for app in late:
             app.send(X_Caller="nobody")  # answered and ended here, and none of them ends it
         for app in late:
             assert status_of(await app.answer()) == 400
-        assert sidecar.front.spare.held == 20
+        assert sidecar.front.reserve.held == 20
         release.set()
         assert status_of(await busy.answer()) == 200
         good = await App.connect(sidecar.address)
--- a/tests/http/test_client_gone.py
+++ b/tests/http/test_client_gone.py
@@ -46,13 +46,13 @@
     sock.shutdown(socket.SHUT_WR)
 
 
-def seats(sidecar):
-    return [seat.holder for seat in sidecar.front.table]
+def holders(sidecar):
+    return [entry.holder for entry in sidecar.front.table]
 
 
 def leave(sidecar, sock, how):
     """A client leaves in this turn of the loop: its end is in the kernel, and the loop can't have seen it."""
-    (connection,) = seats(sidecar)
+    (connection,) = holders(sidecar)
     source = connection._transport.get_extra_info("socket")
     poll = select.poll()
     poll.register(source.fileno(), select.POLLRDHUP)
@@ -65,12 +65,12 @@
     sock = await bare(sidecar.address, 2**16)
     await asyncio.get_running_loop().sock_sendall(sock, AT_REST)
     assert b" 200 " in await asyncio.get_running_loop().sock_recv(sock, 1000)
-    await until(lambda: isinstance(seats(sidecar)[0]._transport, asyncio.Transport))
+    await until(lambda: isinstance(holders(sidecar)[0]._transport, asyncio.Transport))
     return sock
 
 
 async def nothing_is_held(sidecar):
-    await until(lambda: not seats(sidecar) and not sidecar.driver._requests)
+    await until(lambda: not holders(sidecar) and not sidecar.driver._requests)
     assert sidecar.limits.calls.held == 0 and not sidecar.front.unread
 
 
@@ -130,11 +130,11 @@
     async with running(upstream, balancer=module) as sidecar:
         if first:
             sock = await bare(sidecar.address, 2**16)
-            await until(lambda: seats(sidecar))
-            fd = seats(sidecar)[0].sock.fileno()
+            await until(lambda: holders(sidecar))
+            fd = holders(sidecar)[0].sock.fileno()
         else:
             sock = await rested(sidecar)
-            fd = seats(sidecar)[0]._transport.get_extra_info("socket").fileno()
+            fd = holders(sidecar)[0]._transport.get_extra_info("socket").fileno()
         # No await from here to the end: the loop reads the request with the end behind it.
         poll = select.poll()
         poll.register(fd, select.POLLRDHUP)
@@ -172,7 +172,7 @@
         async def leave_then_send(number):
             for _ in range(after):
                 await asyncio.sleep(0)
-            stood.append(isinstance(seats(sidecar)[0]._transport, asyncio.Transport))
+            stood.append(isinstance(holders(sidecar)[0]._transport, asyncio.Transport))
             leave(sidecar, sock, how)
             sidecar.driver._act(Send(number, "s0", 0.0))
 
@@ -222,9 +222,9 @@
     async with running(upstream, balancer=module) as sidecar:
         sock = await rested(sidecar)
         await asyncio.get_running_loop().sock_sendall(sock, b"".join(request() for _ in range(3)))
-        await until(lambda: len(upstream.seen) == 2 and seats(sidecar)[0]._untaken)
+        await until(lambda: len(upstream.seen) == 2 and holders(sidecar)[0]._untaken)
         how(sock)
-        await until(lambda: not seats(sidecar))
+        await until(lambda: not holders(sidecar))
         assert len(module.named("client_gone")) == 2
         assert len(upstream.seen) == 2
         assert not sidecar.front.unread
@@ -242,7 +242,7 @@
         await until(lambda: sidecar.front._stuck)
         seen = len(upstream.seen)
         sock.shutdown(socket.SHUT_WR)
-        await until(lambda: not seats(sidecar))
+        await until(lambda: not holders(sidecar))
         assert len(upstream.seen) - seen < 16 and sidecar.limits.calls.held == 0
         assert not sidecar.front.unread
         sock.close()
@@ -255,8 +255,8 @@
         sock = await bare(sidecar.address, 2**16)
         loop = asyncio.get_running_loop()
         await loop.sock_sendall(sock, b"".join(request() for _ in range(5)))
-        await until(lambda: seats(sidecar) and isinstance(seats(sidecar)[0], downstream.ClientConnection))
-        (connection,) = seats(sidecar)
+        await until(lambda: holders(sidecar) and isinstance(holders(sidecar)[0], downstream.ClientConnection))
+        (connection,) = holders(sidecar)
         await until(lambda: isinstance(connection._transport, asyncio.Transport) and len(upstream.seen) == 4)
         assert len(connection._waiting) == 5 and len(connection._untaken) == 1
         late = request()
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -66,7 +66,7 @@
 
 
 def standing(front):
-    return [seat.standing for seat in front.table]
+    return [entry.standing for entry in front.table]
 
 
 async def asked(sock, sent):
@@ -91,8 +91,8 @@
         front.table = ConnectionTable(TableOptions(100, once_rest_ms=100.0 if why == "rest" else 1e9))
         sock = await client(sidecar.address)
         if why == "overdue":
-            await asyncio.get_running_loop().sock_sendall(sock, b"\r\n")  # no request, and no newcomer
-            await until(lambda: any(isinstance(seat.holder, ClientConnection) for seat in front.table))
+            await asyncio.get_running_loop().sock_sendall(sock, b"\r\n")  # no request, and not pending
+            await until(lambda: any(isinstance(entry.holder, ClientConnection) for entry in front.table))
             await until(lambda: not front._starting)
         else:
             await asked(sock, request())
@@ -140,7 +140,7 @@
         sock.close()
         await until(lambda: sidecar.front.empty)
         assert len(upstream.seen) == (1 if b"/look" in first and status == b"200" else 0)
-        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._seated
+        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._parts
 
 
 @loopback
@@ -166,12 +166,12 @@
     async with running(upstream) as sidecar:
         sock = await client(sidecar.address, kernel=4096)
         await asyncio.get_running_loop().sock_sendall(sock, request(Connection="close"))
-        await until(lambda: standing(sidecar.front) == [Standing.TURNED_AWAY])  # ended here, and it lingers
-        (seat,) = sidecar.front.table
-        await until(lambda: not seat.holder.unsent)
-        assert not seat.holder.quiet
+        await until(lambda: standing(sidecar.front) == [Standing.REJECTED])  # ended here, and it lingers
+        (entry,) = sidecar.front.table
+        await until(lambda: not entry.holder.unsent)
+        assert not entry.holder.quiet
         assert (await to_the_end(sock)).count(b"x") == BODY
-        await until(lambda: sidecar.front.empty or seat.holder.quiet)
+        await until(lambda: sidecar.front.empty or entry.holder.quiet)
         sock.close()
 
 
@@ -181,8 +181,8 @@
         socks = [await client(sidecar.address) for _ in range(2)]
         await until(lambda: len(sidecar.front.table) == 2)
         delays = [
-            seat.holder.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
-            for seat in sidecar.front.table
+            entry.holder.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            for entry in sidecar.front.table
         ]
         assert all(delays)
         for sock in socks:
@@ -237,4 +237,4 @@
         assert crossing.crossed == ["close"]
         await until(lambda: sidecar.front.empty)
         assert len(upstream.seen) == asked_before
-        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._seated
+        assert sidecar.front.budget.descriptors.held == 0 and not sidecar.front._parts
--- a/tests/http/test_dials.py
+++ b/tests/http/test_dials.py
@@ -31,7 +31,7 @@
 
 
 async def nothing_leaks(sidecar):
-    """No dial and no connection is left but those in the books."""
+    """No dial and no connection is left but those accounted for."""
     pool = sidecar.pool
     await until(lambda: not pool._opening and not sidecar.driver._requests)
     await until(lambda: pool.budget.descriptors.held == len(pool._connections))
@@ -286,7 +286,7 @@
         app.send()
         await until(lambda: upstream.seen)
         (to_server,) = sidecar.pool._connections
-        (seat,) = sidecar.front.table
-        for end in (to_server, seat.holder):
+        (entry,) = sidecar.front.table
+        for end in (to_server, entry.holder):
             sock = end._transport.get_extra_info("socket")
             assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
--- a/tests/http/test_front.py
+++ b/tests/http/test_front.py
@@ -1,4 +1,4 @@
-"""The application's side: what is taken, what is turned away, and one final answer for each."""
+"""The application's side: what is taken, what is rejected, and one final answer for each."""
 
 from __future__ import annotations
 
--- a/tests/http/test_hard_cases.py
+++ b/tests/http/test_hard_cases.py
@@ -1,4 +1,4 @@
-"""Schedules that once broke a rule or a book, found by reading and kept for good."""
+"""Schedules that once broke a rule or the accounting, found by reading and kept for good."""
 
 from __future__ import annotations
 
@@ -68,7 +68,7 @@
     async with running(upstream) as sidecar:
         limits = Limits(6, 2**20, 1000)
         sidecar.front.budget = limits.budget("clients")
-        sidecar.front.spare = limits.descriptors.part("at the limit", 2, weight=0.0)
+        sidecar.front.reserve = limits.descriptors.part("at the limit", 2, weight=0.0)
         sidecar.front.table = ConnectionTable(TableOptions(100))
         resting = [await App.connect(sidecar.address) for _ in range(4)]
         for app in resting:
@@ -78,9 +78,9 @@
             app.send()
         await until(lambda: len(upstream.seen) == 8)
         silent = await App.connect(sidecar.address)
-        await until(lambda: sidecar.front.spare.held == 1)
+        await until(lambda: sidecar.front.reserve.held == 1)
         good = await App.connect(sidecar.address)
-        await until(lambda: sidecar.front.spare.held == 2)
+        await until(lambda: sidecar.front.reserve.held == 2)
         for app in resting:
             await app.answer()
         await asyncio.sleep(0.15)  # the silent one has had its time
@@ -152,7 +152,7 @@
 
 @loopback
 async def test_a_byte_behind_an_answer_keeps_no_place():
-    """Guards against a connection that is in no queue, and so never gives way."""
+    """Guards against a connection that is in no queue, and so is never evicted."""
     upstream = await Upstream([OK]).start()
     async with running(upstream, raw={"limits": {"sockets": 96}}) as sidecar:
         crowd = []
@@ -160,7 +160,7 @@
             crowd.append(await App.connect(sidecar.address))
             crowd[-1].writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\nG")
         await asyncio.sleep(0.2)
-        standing = Counter(seat.standing for seat in sidecar.front.table)
+        standing = Counter(entry.standing for entry in sidecar.front.table)
         assert standing[Standing.ASKING] and not standing[Standing.IN_CALL]
         for _ in range(10):
             async with asyncio.timeout(1.0):  # halves are only ended after 2 s
@@ -177,7 +177,7 @@
     asyncio.get_running_loop().set_exception_handler(lambda loop, told: raised.append(told))
     async with running(upstream) as sidecar:
         sidecar.front.budget = Limits(1, 2**20, 1000).budget("clients")
-        sidecar.front.spare = Limits(2, 0, 0).descriptors.part("at the limit")
+        sidecar.front.reserve = Limits(2, 0, 0).descriptors.part("at the limit")
         busy = await App.connect(sidecar.address)
         busy.send()
         await until(lambda: upstream.seen)
@@ -198,13 +198,13 @@
     upstream = await Upstream([later]).start()
     async with running(upstream) as sidecar:
         sidecar.front.budget = Limits(2, 2**20, 1000).budget("clients")
-        sidecar.front.spare = Limits(1, 0, 0).descriptors.part("at the limit")
+        sidecar.front.reserve = Limits(1, 0, 0).descriptors.part("at the limit")
         busy = [await App.connect(sidecar.address) for _ in range(2)]
         for app in busy:
             app.send()
         await until(lambda: len(upstream.seen) == 2)
         silent = await App.connect(sidecar.address)
-        await until(lambda: sidecar.front.spare.held == 1)
+        await until(lambda: sidecar.front.reserve.held == 1)
         queued = await App.connect(sidecar.address)
         queued.send()
         silent.close()
@@ -230,8 +230,8 @@
 
 @loopback
 async def test_halves_of_requests_give_way_to_whole_ones_when_bytes_run_short():
-    """Guards against bodies that never end and fill the book: good requests would be refused for seconds.
-    What the watch does about a full book when it looks is another matter."""
+    """Guards against bodies that never end and fill the buffers: good requests would be refused for seconds.
+    What the watch does about full buffers when it looks is another matter."""
     upstream = await Upstream([OK]).start()
     async with running(upstream, rules=()) as sidecar:
         sidecar.limits.buffered.resize(600_000)
@@ -260,12 +260,12 @@
         await loop.sock_connect(sock, sidecar.address)
         await loop.sock_sendall(sock, request())
         await until(lambda: sidecar.front._stuck)
-        (seat,) = sidecar.front.table
-        assert seat.standing is Standing.IN_CALL and sidecar.front.table.at_rest == 0
+        (entry,) = sidecar.front.table
+        assert entry.standing is Standing.IN_CALL and sidecar.front.table.at_rest == 0
         got = 0
         while got < len(LARGE) - 100:
             got += len(await loop.sock_recv(sock, 65536))
-        await until(lambda: seat.standing is Standing.AT_REST)
+        await until(lambda: entry.standing is Standing.AT_REST)
         sock.close()
 
 
--- a/tests/http/test_holding.py
+++ b/tests/http/test_holding.py
@@ -15,7 +15,7 @@
 
 LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + b"x" * 65536
 
-# What the front does about its books, and no look of the watch over them: a book that a test fills refuses
+# What the front does about its bytes, and no look of the watch over them: a ledger that a test fills refuses
 # by worth too once the watch looks, which on a slow machine falls into the test and on a fast one does not.
 running = functools.partial(partners.running, rules=())
 
@@ -61,8 +61,8 @@
         good = await App.connect(sidecar.address)
         for _ in range(60):
             assert (await good.ask()).start.split(" ")[1] == "200"
-            # The book is what the transports really hold.
-            real = sum(getattr(seat.holder, "unsent", 0) for seat in sidecar.front.table)
+            # The accounting is what the transports really hold.
+            real = sum(getattr(entry.holder, "unsent", 0) for entry in sidecar.front.table)
             most = max(most, real)
             assert real <= held(sidecar) <= 4 * 2**20
         assert most > 2**20
@@ -129,7 +129,7 @@
 
 @loopback
 async def test_halves_of_requests_are_turned_away_where_there_is_no_room_for_them():
-    """Guards against bodies that never end: what they hold is in the book, and past it they are told so."""
+    """Guards against bodies that never end: what they hold counts, and past a bound they are told so."""
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
         sidecar.limits.buffered.resize(200_000)
--- a/tests/http/test_requests.py
+++ b/tests/http/test_requests.py
@@ -12,7 +12,7 @@
 
 
 def judged(target):
-    """The status with which a target is turned away, or None."""
+    """The status with which a target is rejected, or None."""
     message = Message()
     message.target = target
     try:
@@ -89,7 +89,7 @@
         whole = partners.request(X_Long="x" * 3000).replace(b"HTTP/1.1", b"RTSP/1.0")
         for start in range(0, len(whole), 500):
             app.writer.write(whole[start : start + 500])
-            await asyncio.sleep(0.01)  # though it was turned away at the first part, it can read so
+            await asyncio.sleep(0.01)  # though it was rejected at the first part, it can read so
         assert (await app.answer()).start.split(" ")[1] == "505"
         assert upstream.seen == []
 
