Rename Places of server lists to NameIndices, which is what it maps

`Places` in membership/lists.py maps the names of zones and kinds of machine to their indices in the settings; "place" also stood for a connection's room and for a server's address. The class is NameIndices now, the field and variables are `indices`, and config/options.py has `indices_of`. No behaviour differs.

--- a/fordtrestle/config/options.py
+++ b/fordtrestle/config/options.py
@@ -21,7 +21,7 @@
 from fordtrestle.http.front import FrontOptions
 from fordtrestle.http.pool import PoolOptions
 from fordtrestle.http.requests import RequestClass, RequestNames, stable_number
-from fordtrestle.membership.lists import Places
+from fordtrestle.membership.lists import NameIndices
 from fordtrestle.membership.registry import RegistryOptions
 from poppypulley import model
 
@@ -85,10 +85,10 @@
     return RequestNames(classes, {tenant.name: i for i, tenant in enumerate(service.tenants)})
 
 
-def places(service: ServiceSpec) -> Places:
+def indices_of(service: ServiceSpec) -> NameIndices:
     """Its zones and kinds of machine, as lists name them."""
     zones = {zone: i for i, zone in enumerate(service.zones)}
-    return Places(zones, {kind: i for i, kind in enumerate(service.kinds)})
+    return NameIndices(zones, {kind: i for i, kind in enumerate(service.kinds)})
 
 
 def basis(service: ServiceSpec) -> str:
@@ -214,12 +214,12 @@
     """What a registry's watch is told; where no list is known from before, it begins with an empty one."""
     assert source.address is not None
     known = known or ServerList(0, True, [], {})
-    return RegistryOptions(source.address, places(service), source.pushed, known, seed)
+    return RegistryOptions(source.address, indices_of(service), source.pushed, known, seed)
 
 
 def server_list(source: StaticSpec, service: ServiceSpec, version: int) -> ServerList:
     """A static source's servers, as lists hold them."""
-    at = places(service)
+    at = indices_of(service)
     addresses: Mapping[str, Address | None] = {server.name: server.address for server in source.servers}
     return ServerList(
         version,
@@ -229,7 +229,7 @@
     )
 
 
-def _listing(server: ServerSpec, at: Places) -> model.Listing:
+def _listing(server: ServerSpec, at: NameIndices) -> model.Listing:
     return model.Listing(
         server=server.name,
         zone=at.zones.get(server.zone, 0),
--- a/fordtrestle/config/platform.py
+++ b/fordtrestle/config/platform.py
@@ -14,7 +14,7 @@
 from fordtrestle.http.front import FrontOptions
 from fordtrestle.http.pool import PoolOptions
 from fordtrestle.http.requests import RequestClass, RequestNames, stable_number
-from fordtrestle.membership.lists import Places, amount, parse_list
+from fordtrestle.membership.lists import NameIndices, amount, parse_list
 from fordtrestle.membership.registry import RegistryOptions
 from poppypulley import model
 
@@ -42,7 +42,7 @@
     known: ServerList
     settings: model.Settings
     names: RequestNames
-    places: Places
+    indices: NameIndices
     max_open: int
     drain_grace_ms: float
 
@@ -72,7 +72,7 @@
 
 def parse(raw: Any, environment: Mapping[str, str], limits: LimitsOptions = USUAL) -> Config:
     """The configuration from its JSON; the environment has the last word on addresses."""
-    settings, places = raw["settings"], _places(raw["settings"])
+    settings, indices = raw["settings"], _name_indices(raw["settings"])
     policy, rules = settings.get("PolicyLimits") or {}, settings.get("Rules") or {}
     machine = raw.get("limits") or {}
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -90,10 +90,10 @@
         peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
         peers=tuple(parse_address(peer) for peer in raw.get("peers") or ()),
         peers_all=parse_address(raw["peers_all"]) if raw.get("peers_all") else None,
-        known=parse_list(raw["known"], places),
+        known=parse_list(raw["known"], indices),
         settings=model.Settings.parse(settings),
         names=_names(settings),
-        places=places,
+        indices=indices,
         max_open=int(policy.get("MaxOpen", 2**31)),
         drain_grace_ms=amount(rules.get("StopSendingWithin", 0.0)),
     )
@@ -118,8 +118,8 @@
     )
 
 
-def _places(settings: Mapping[str, Any]) -> Places:
-    return Places(
+def _name_indices(settings: Mapping[str, Any]) -> NameIndices:
+    return NameIndices(
         zones=_indices(settings.get("FailureDomains") or ()),
         kinds=_indices(settings.get("Kinds") or ()),
     )
@@ -159,4 +159,4 @@
 def registry_options(told: Config) -> RegistryOptions:
     """What its discovery is told."""
     pushed = told.settings.discovery == "automatic"
-    return RegistryOptions(told.discovery, told.places, pushed, told.known, told.seed)
+    return RegistryOptions(told.discovery, told.indices, pushed, told.known, told.seed)
--- a/fordtrestle/membership/lists.py
+++ b/fordtrestle/membership/lists.py
@@ -15,14 +15,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Places:
+class NameIndices:
     """The zones and kinds of machine as lists name them, and the index in the settings of each."""
 
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
 
 
-def parse_list(raw: Any, places: Places) -> ServerList:
+def parse_list(raw: Any, indices: NameIndices) -> ServerList:
     """Read discovery's form of a list; `ValueError`, `KeyError` or `TypeError` if it is none."""
     version, whole = int(raw["index"]), raw.get("snapshot") or False
     # Guards against a line for which all others would be older, and against changes read as a whole list.
@@ -30,21 +30,21 @@
         raise ValueError(f"index {version!r} or snapshot {whole!r} is none")
     entries, addresses = [], {}
     for row in raw["endpoints"]:
-        entry = _listing(row, places)
+        entry = _listing(row, indices)
         entries.append(entry)
         if row.get("address"):
             addresses[entry.server] = parse_address(row["address"])
     return ServerList(version, whole, entries, addresses)
 
 
-def _listing(row: Mapping[str, Any], places: Places) -> model.Listing:
+def _listing(row: Mapping[str, Any], indices: NameIndices) -> model.Listing:
     state = row.get("status", "active")
     if state not in STATES:
         raise ValueError(f"status {state!r} is not known")
     return model.Listing(
         server=str(row["name"]),
-        zone=places.zones.get(row.get("zone", ""), 0),
-        kind=places.kinds.get(row.get("type", ""), 0),
+        zone=indices.zones.get(row.get("zone", ""), 0),
+        kind=indices.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
         state=state,
         weight=float(row.get("weight") or 1.0),
--- a/fordtrestle/membership/registry.py
+++ b/fordtrestle/membership/registry.py
@@ -30,7 +30,7 @@
 
 from fordtrestle.engine.log import log
 from fordtrestle.engine.ports import Address, ServerList
-from fordtrestle.membership.lists import Places, parse_list
+from fordtrestle.membership.lists import NameIndices, parse_list
 
 PATH = "/registry/instances"
 DIAL_S = 1.25  # the system sends a lost first packet again after 1 s
@@ -200,7 +200,7 @@
     """Where discovery is, how it talks, and the list as last held."""
 
     address: Address
-    places: Places
+    indices: NameIndices
     pushed: bool
     known: ServerList
     seed: int
@@ -216,7 +216,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, options: RegistryOptions, news: News) -> None:
         self._loop = loop
         self._address = options.address
-        self._places = options.places
+        self._indices = options.indices
         self._pushed = options.pushed
         self._news = news
         self._version = options.known.version
@@ -338,7 +338,7 @@
                 await asyncio.wait((channel.broken,), timeout=ANSWER_S)
             if channel is None or not channel.complete:
                 raise ValueError((channel and channel.fault) or "the call failed")
-            news = parse_list(json.loads(got), self._places)
+            news = parse_list(json.loads(got), self._indices)
             if news.version < self._version:
                 raise ValueError("the list is older than the one held")
         except NO_LIST as error:
@@ -367,7 +367,7 @@
     def _changed(self, text: bytes) -> None:
         """One list of a watch; `ValueError` ends it, and the next one brings the whole list."""
         try:
-            news = parse_list(json.loads(text), self._places)
+            news = parse_list(json.loads(text), self._indices)
         except NO_LIST as error:
             self._spoilt = True
             raise ValueError(f"not a list: {error}") from error
--- a/tests/config/test_numbering.py
+++ b/tests/config/test_numbering.py
@@ -75,7 +75,7 @@
     assert settings.allowances == (0.0, 0.4)
     assert numbering.kept(service, dataclasses.replace(service, tenants=())).tenants == ()
     kept = numbering.kept(service, less(service, "east"))
-    assert options.places(kept).zones == {"east": 0, "west": 1}
+    assert options.indices_of(kept).zones == {"east": 0, "west": 1}
     assert options.settings(dataclasses.replace(told, services={"shop": kept}), "shop", START).locality == 1
     assert numbering.kept(service, less(service, "big")).kinds == ("big",)
 
--- a/tests/daemon/test_long.py
+++ b/tests/daemon/test_long.py
@@ -32,7 +32,7 @@
         served = 0
         for turn in range(TURNS):
             rows = [entry(f"s{turn}-{i}", upstream.address) for i, upstream in enumerate(upstreams)]
-            news = parse_list(listed(42 + turn, *rows, snapshot=False), told().places)
+            news = parse_list(listed(42 + turn, *rows, snapshot=False), told().indices)
             sidecar.driver.server_list("changes", news)
             apps = [await App.connect(sidecar.address) for _ in range(CLIENTS)]
             for number, app in enumerate(apps):
--- a/tests/http/test_front.py
+++ b/tests/http/test_front.py
@@ -30,7 +30,7 @@
     clock = Clock(asyncio.get_running_loop())
     assert abs(clock.now() - time.time() * 1000.0) < 1000.0
     rows = listed(1, entry("old"), entry("new", since_ms=1_790_000_000_000))
-    news = lists.parse_list(rows, told().places)
+    news = lists.parse_list(rows, told().indices)
     assert [row.started for row in news.entries] == [0.0, 1_790_000_000_000.0]
 
 
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -205,7 +205,7 @@
 
 
 def news(*entries):
-    return parse_list(listed(42, *entries, snapshot=False), told().places)
+    return parse_list(listed(42, *entries, snapshot=False), told().indices)
 
 
 def pooled(upstream):
--- a/tests/membership/standin.py
+++ b/tests/membership/standin.py
@@ -8,7 +8,7 @@
 import socket
 
 from fordtrestle.engine.ports import ServerList, parse_address
-from fordtrestle.membership.lists import Places
+from fordtrestle.membership.lists import NameIndices
 from fordtrestle.membership.registry import Discovery, RegistryOptions
 from tests.loopback import entry, listed, read_message
 
@@ -53,7 +53,7 @@
 def asking(address, told, pushed=True, version=41, seed=1):
     """Discovery as a sidecar has it, not yet started."""
     known = ServerList(version, True, [], {})
-    options = RegistryOptions(parse_address(address), Places({"west": 0}, {}), pushed, known, seed)
+    options = RegistryOptions(parse_address(address), NameIndices({"west": 0}, {}), pushed, known, seed)
     return Discovery(asyncio.get_running_loop(), options, told)
 
 
--- a/tests/membership/test_crossings.py
+++ b/tests/membership/test_crossings.py
@@ -357,7 +357,7 @@
 
 def test_a_list_may_come_indented_and_say_nothing_of_being_whole():
     news = lists.parse_list(
-        json.loads('{"index": 7,\n "snapshot": null, "endpoints": []}'), lists.Places({}, {})
+        json.loads('{"index": 7,\n "snapshot": null, "endpoints": []}'), lists.NameIndices({}, {})
     )
     assert (news.version, news.whole) == (7, False)
 
