--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -1242,10 +1242,9 @@
         return profile.semantics == "token" and profile.group == "all"
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout, bound = self._timeout(now, request), request.bound()
-        # A repeat that waits for its connection must not begin once its key is forgotten.
-        keyed = bound and request.profile.semantics == "token"
-        within = bound.sent + request.profile.key_ttl - now if bound and keyed else math.inf
+        timeout, within, bound = self._timeout(now, request), math.inf, request.bound()
+        if bound and request.profile.semantics == "token":  # it may wait for its connection
+            within = bound.sent + request.profile.key_ttl - now
         gap = now - server.used_at if server.used_at and not server.open else 0.0
         attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
         if gap > self._idle_safe(now):
