Forget a silent zone's servers as they are forgotten themselves

`_forget_gone` now drops names that are no longer known, a minute after the server left the list.

Test: test_servers_of_a_zone_that_is_away_for_good_are_forgotten_in_the_end, red without the change.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -1324,6 +1324,8 @@
             if not server.usable and not server.open and now - server.gone_at > FORGET_MS:
                 del self._servers[name]
                 self._resting.pop(name, None)
+        for zone in self._zones.values():
+            zone.silent = {name: since for name, since in zone.silent.items() if name in self._servers}
 
     def _rebuild(self) -> None:
         """The servers to draw from, from this sidecar's place on the ring of known ones.
--- a/tests/poppypulley/test_endurance.py
+++ b/tests/poppypulley/test_endurance.py
@@ -90,6 +90,27 @@
     assert len(made._resting) < 40 and not made._requests
 
 
+def test_servers_of_a_zone_that_is_away_for_good_are_forgotten_in_the_end():
+    patient = {"Semantics": "side_effect", "Objective": 600.0, "Deadline": 1000.0, "LateWorth": 0.5}
+    made = Balancer(0.0, Settings.parse(raw_settings(Profiles=[patient])), 1)
+    made.server_list(0.0, "all", listing(3))
+    tried = 0
+    for wave in range(100):
+        now = 60_000.0 * wave
+        made.server_list(now, "changes", [Listing(f"n{wave}", zone=1)])
+        for number in range(20 * wave, 20 * wave + 20):
+            now += 100.0
+            for send in of_type(made.request(now, Arrival(number, 0, now + 1000.0)), Send):
+                away = send.server.startswith("n")
+                tried += away
+                status = Outcome.TIMEOUT if away else Outcome.OK
+                made.outcome(now + 50.0, number, 0, status, 50.0, True)
+        made.server_list(now + 100.0, "changes", [Listing(f"n{wave}", zone=1, state="left")])
+    assert tried >= 20
+    assert len(made._servers) < 10
+    assert sum(len(zone.silent) for zone in made._zones.values()) < 10
+
+
 def test_a_gone_server_with_work_out_is_still_accounted_for():
     made = Balancer(0.0, Settings.parse(raw_settings("safe")), 1)
     made.server_list(0.0, "all", [Listing("a")])
