--- /dev/null
+++ b/tests/daemon/test_customers.py
@@ -0,0 +1,94 @@
+"""Settings of other customers: the same program beside servers of which some hang, reset or reject."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from tests.http.test_bad_servers import judged, later
+from tests.judged import hang, reject, reset, serve
+from tests.loopback import SETTINGS, App, loopback
+
+LIMITS = SETTINGS["PolicyLimits"]
+BEHAVIOURS = (serve, later(0.02, serve), later(0.1, serve), hang, reset, reject, later(0.05, reset))
+
+
+def kind(name, semantics, deadline=600.0, **changes):
+    return {
+        "Name": name,
+        "Semantics": semantics,
+        "Objective": deadline / 2.0,
+        "Deadline": deadline,
+        **changes,
+    }
+
+
+def keyed(name, group, window=300.0, deadline=600.0):
+    return kind(name, "token", deadline, Group=group, KeyTtl=window)
+
+
+FIVE = [
+    kind("a", "pure"),
+    keyed("b", "all"),
+    keyed("c", "zone"),
+    keyed("d", "cell", 60.0),
+    kind("e", "side_effect"),
+]
+CUSTOMERS = {
+    "one safe class": {"Profiles": [kind("only", "pure")]},
+    "one unsafe class": {"Profiles": [kind("only", "side_effect")]},
+    "one keyed class, by cell": {"Profiles": [keyed("only", "cell", 150.0)]},
+    "one keyed class, by zone": {"Profiles": [keyed("only", "zone")]},
+    "five classes": {"Profiles": FIVE},
+    "no tenants": {"Profiles": FIVE, "Tenants": []},
+    "no zones, no kinds": {"Profiles": FIVE, "FailureDomains": [], "Kinds": []},
+    "nothing is cancelled": {"Profiles": FIVE, "PolicyLimits": {**LIMITS, "MayCancel": False}},
+    "second copies": {"Profiles": FIVE, "PolicyLimits": {**LIMITS, "ParallelTries": True}},
+    "no word on when to return": {"Profiles": FIVE, "PolicyLimits": {**LIMITS, "RetryAfter": False}},
+    "one attempt": {"Profiles": FIVE, "PolicyLimits": {**LIMITS, "MaxAttempts": 1}},
+    "nothing but attempts": {"Profiles": FIVE, "PolicyLimits": {"MaxAttempts": 2}, "Rules": {}, "Report": {}},
+    "50 ms": {
+        "Profiles": [
+            kind("quick", "pure", 50.0),
+            keyed("key", "cell", 20.0, 50.0),
+            kind("once", "side_effect", 50.0),
+        ]
+    },
+    "a window longer than all": {"Profiles": [keyed("key", "all", 60_000.0), kind("look", "pure")]},
+    "no window": {"Profiles": [keyed("key", "all", 0.0), kind("look", "pure")]},
+    "alone": {"Profiles": FIVE, "Balancers": 1, "PolicyLimits": {**LIMITS, "PeerMessages": False}},
+    "lists are asked for": {"Profiles": FIVE, "Discovery": "subscribe"},
+}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("customer", CUSTOMERS)
+@loopback
+async def test_the_rules_hold_by_any_settings(customer, seed):
+    """Six servers in two zones and three cells; drawn from the seed, one of them serves."""
+    rng = random.Random(f"{customer}/{seed}")
+    settings = {**SETTINGS, **CUSTOMERS[customer]}
+    behaviours = [serve, *rng.choices(BEHAVIOURS, k=5)]
+    rng.shuffle(behaviours)
+    servers = [
+        (f"s{i}", behave, {"zone": ("east", "west")[i % 2], "group": i % 3})
+        for i, behave in enumerate(behaviours)
+    ]
+
+    async def client(site, address, row, pauses):
+        app = await App.connect(address)
+        for pause in pauses:
+            await site.ask(address, row, row["Deadline"] / 1000.0, app)
+            if app.reader.at_eof():
+                app = await App.connect(address)
+            await asyncio.sleep(pause)
+        app.close()
+
+    async with judged(settings, *servers) as (site, sidecar):
+        rows = settings["Profiles"] * (8 // len(settings["Profiles"]))
+        await asyncio.gather(
+            *(client(site, sidecar.address, row, [rng.uniform(0.0, 0.05) for _ in range(8)]) for row in rows)
+        )
+    assert len(site.asked) == 8 * len(rows) and site.got
