Take no list with a name that can't be written, which the engine took by half

Seen: an entry whose name holds a lone surrogate (`"\ud800"`, valid JSON) raised in the decision module's `server_list`, in the middle of the list: the pool had all of it, the module what stood before that entry, and the log a trace. Names with line ends went on into the Host field of probes and into the log. Cause: `membership/lists.py`, `_listing`, which took `str()` of anything for a name.

A name is now printable text that is not empty; else the list is spoilt, as with any other field: what was good stays in force, one line is logged, and the next watch asks for the whole list. Checked besides, and found kept: 31 spoilt lists (types, depth, endless figures, addresses, states), half a list and a reset, an empty whole list (it is believed: requests are refused), a name twice in one list (the last entry holds).

--- a/fordtrestle/membership/lists.py
+++ b/fordtrestle/membership/lists.py
@@ -42,7 +42,7 @@
     if state not in STATES:
         raise ValueError(f"status {state!r} is not known")
     return model.Listing(
-        server=str(row["name"]),
+        server=_name(row["name"]),
         zone=indices.zones.get(row.get("zone", ""), 0),
         kind=indices.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
@@ -53,6 +53,15 @@
     )
 
 
+def _name(value: Any) -> str:
+    """Text that can be written to servers and to the log; `ValueError` if it is none.
+
+    Guards against a list of which the engine takes in one half: a name that can't be encoded raised there."""
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError(f"name {value!r} is none")
+    return value
+
+
 def amount(value: Any) -> float:
     """A finite number of at least 0; `ValueError` or `TypeError` if it is none."""
     figure = float(value)
