Hold reported requests to be a crowd only where answers take long

`Balancer._strain` took 3 to 6 requests held for a crowd, whatever the server's cores (CROWD, CROWD_SPAN): a figure that fits servers of one core.

Now what is reported counts as far as answers take long (SLOW to SLOW + SLOW_SPAN of the aim), as time-outs did already. Sites without reports, the first customer's among them, are not touched.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -964,9 +964,8 @@
     # --- health -----------------------------------------------------------
 
     def _may_draw(self, now: float, request: Request, server: Server, ring: list[Server], reach: int) -> bool:
-        if not self._fit(now, server) or not self._may_send(now, request, server):
-            return False
-        return self._cold_room(now, request, server, ring, reach)
+        fit = self._fit(now, server) and self._may_send(now, request, server)
+        return fit and self._cold_room(now, request, server, ring, reach)
 
     def _fit(self, now: float, server: Server) -> bool:
         """Whether a server may be drawn; one that struck gets a single trial."""
@@ -1114,14 +1113,13 @@
 
     def _strain(self, server: Server, status: int, now: float) -> float:
         """How far an outcome speaks of a crowd, 0 to 1; reports count by their mean, not their sum."""
+        # Guards against shedding for answers that are lost while servers have room, and for what servers
+        # of several cores hold while nobody waits; it may shed late where a crowd drops work unseen.
+        slow = min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
         if status == OK and "inflight" in self._set.report_fields and server.seen_at == now:
-            crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
+            crowd = slow * min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
             return crowd * min(1.0, RATE_MS / (SHED_GAIN * SHED_LEAK_MS * max(1.0, self._sends)))
-        if status != TIMEOUT:
-            return float(status == FULL)
-        # Guards against shedding for answers that are lost while servers have room; it may shed
-        # late where a crowd drops work unseen and serves the rest quickly.
-        return DUE_STRAIN * min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
+        return DUE_STRAIN * slow if status == TIMEOUT else float(status == FULL)
 
     def _learn_pace(self, now: float, server: Server, spent: float, work: float) -> None:
         """Move a server's share of the draws by how it and its kind keep pace."""
