End an attempt that is given up before the next one is written, not a turn of the loop later

`transport.abort()` closes the socket in the next turn of the loop, and the module's next attempt is written to a ready connection in this one (driver `_expire` and `_outcome`, `UpstreamConnection.abort` and `_break` in http/upstream.py): where no second copies are allowed, two were out for some tens of microseconds.

What is given up now ends its sending at once, one system call for such an attempt only, and is then closed. Test: a time-out and a spoilt answer, looked at from the server's socket in the very turn; both red without this.

--- a/fordtrestle/http/upstream.py
+++ b/fordtrestle/http/upstream.py
@@ -138,7 +138,7 @@
         """Close at once; what is buffered is dropped."""
         self._exchange = None
         if self._made:
-            self._transport.abort()
+            self._cut()
 
     # --- called by the loop -------------------------------------------------
 
@@ -209,10 +209,16 @@
     def _break(self, outcome: Outcome) -> None:
         """The exchange can't be finished on this connection."""
         exchange, self._exchange = self._exchange, None
-        self._transport.abort()
+        self._cut()
         if exchange is not None:
             exchange.end(Result(outcome))
 
+    def _cut(self) -> None:
+        """Close at once. Guards against another attempt of the request that is written in this turn of the
+        loop, while the transport closes in the next: a second copy beside one that is out."""
+        stream.end(self._transport)
+        self._transport.abort()
+
 
 def result_of(parser: wire.AnswerParser, fields: tuple[str, ...], probe: bool) -> Result:
     """What a whole answer says."""
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 
 import pytest
@@ -256,6 +257,38 @@
         assert upstream.seen == []
 
 
+async def spoil(reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nx")
+    await reader.read()
+
+
+@pytest.mark.parametrize("behave", [hang, spoil])
+@loopback
+async def test_an_attempt_that_is_given_up_has_ended_on_the_wire_before_the_next_is_written(behave):
+    """Where no two may be out at a time, a close in the next turn of the loop comes too late."""
+    first, second = await Upstream([behave]).start(), await Upstream().start()
+    ended = []
+
+    def outcome(now, number, hop, status, spent, last, report):
+        if last:
+            return []
+        fd = first.writers[0].get_extra_info("socket").fileno()
+        with socket.socket(fileno=os.dup(fd)) as server_side:
+            server_side.setblocking(False)
+            try:
+                ended.append(server_side.recv(1, socket.MSG_PEEK) == b"")
+            except BlockingIOError:
+                ended.append(False)
+        return [Send(number, "s1", 0.0)]
+
+    module = Scripted(request=lambda now, arrival: [Send(arrival.request, "s0", 1000.0)], outcome=outcome)
+    async with running(first, second, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        assert ended == [True]
+        app.close()
+
+
 @loopback
 async def test_a_time_out_closes_the_connection_and_its_outcome_comes_once():
     upstream = await Upstream([hang]).start()
