Test bursts of whole requests whose clients go at once, by close, end and reset

50 whole requests on each of 20 connections, and gone at once, while the server holds its answers: what is sent on is at most what was taken at once, and nothing more once they have been gone for 0.3 s and the server answers.

--- a/tests/http/test_bad_clients.py
+++ b/tests/http/test_bad_clients.py
@@ -255,3 +255,31 @@
         assert await app.reader.read() == b""
         app.close()
     assert upstream.of_bad_clients() == ["last-0"]
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "end"])
+@pytest.mark.parametrize("target", ["/look", "/pay"])
+@loopback
+async def test_of_a_burst_whose_client_goes_at_once_nothing_is_sent_on_later(target, how):
+    """50 whole requests on each connection, and gone: no more than a few of them are sent on, at once."""
+    upstream = await Echo().start()
+    upstream.open.clear()
+
+    async def bad(address, number):
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b"".join(calls(f"burst-{number}", 50, target)))
+        await asyncio.sleep(0.0)
+        leave(writer, how)
+        return writer
+
+    async with all_given_back(upstream) as sidecar:
+        writers = [await bad(sidecar.address, number) for number in range(CLIENTS)]
+        await asyncio.sleep(GONE_S)
+        in_time = upstream.of_bad_clients()
+        upstream.open.set()
+        for _ in range(20):
+            await asyncio.sleep(0.02)
+        assert upstream.of_bad_clients()[len(in_time) :] == []
+        assert len(in_time) <= CLIENTS * downstream.IN_CALL_MOST
+        for writer in writers:
+            writer.transport.abort()
