--- /dev/null
+++ b/fordtrestle/cli/sidecar.py
@@ -0,0 +1,16 @@
+"""`fordtrestle sidecar`: the process that serves clients, as its settings file tells."""
+
+from __future__ import annotations
+
+import argparse
+
+
+def add(parser: argparse.ArgumentParser) -> None:
+    """It takes no arguments: its settings stand in the file that FORDTRESTLE_CONFIG names."""
+
+
+def run(given: argparse.Namespace) -> int:
+    """Serve until SIGTERM; the exit code."""
+    from fordtrestle.roles import sidecar
+
+    return sidecar.main()
--- /dev/null
+++ b/fordtrestle/control_api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP calls of operators and servers to a control process."""
--- /dev/null
+++ b/fordtrestle/control_api/http.py
@@ -0,0 +1,139 @@
+"""The `control` endpoint: operators' orders and servers' heartbeats over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from fordtrestle.control_api.heartbeats import BODY_MOST, Heartbeats, read_heartbeat
+from fordtrestle.control_api.orders import Orders, Outcome, Verdict
+from fordtrestle.peer.gossip import Gossip
+from fordtrestle.replication.epochs import Store
+
+ORDER_MOST = 32 * 1024 * 1024
+BODY_S = 5.0
+RETRY_AFTER_S = 0.3
+BASE_HEADER = "X-Base-Version"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def reply(status: int, *faults: str, **headers: str) -> web.Response:
+    """An answer in JSON, with its faults where it has some."""
+    body: dict[str, Any] = {"errors": list(faults)} if faults else {}
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return web.json_response(body, status=status, headers=named)
+
+
+class ControlApi:
+    """Turns calls into orders and heartbeats, and what comes of them into answers."""
+
+    def __init__(
+        self,
+        orders: Orders,
+        heartbeats: Heartbeats,
+        gossip: Gossip,
+        zones: frozenset[str],
+        primary: Callable[[], Store | None],
+    ) -> None:
+        self._orders = orders
+        self._heartbeats = heartbeats
+        self._gossip = gossip
+        self._zones = zones
+        self._primary = primary
+
+    def application(self) -> web.Application:
+        """The routes of the endpoint."""
+        application = web.Application(middlewares=[errors], client_max_size=ORDER_MOST)
+        application.add_routes(
+            [
+                web.post("/v1/config/{kind:put|patch}", self._change),
+                web.get("/v1/config/get", self._get),
+                web.post("/v1/evacuations/{zone}/{step:start|finish}", self._evacuate),
+                web.post("/v1/instances/{instance}/heartbeat", self._heartbeat),
+                web.post("/v1/instances/{instance}/deregister", self._deregister),
+            ]
+        )
+        return application
+
+    async def _change(self, request: web.Request) -> web.StreamResponse:
+        base = request.headers.get(BASE_HEADER, "0")
+        if not (base.isascii() and base.isdigit()):
+            return reply(400, f"{BASE_HEADER}: expected a whole number")
+        body = await read_body(request)
+        outcome = await self._orders.change_config(request.match_info["kind"], int(base), body)
+        return self._answer(request, outcome)
+
+    async def _get(self, request: web.Request) -> web.StreamResponse:
+        outcome = await self._orders.current()
+        if outcome.verdict is not Verdict.DONE:
+            return self._answer(request, outcome)
+        if not outcome.document:
+            return reply(404, "there is no configuration yet")
+        return web.Response(body=outcome.document, content_type="application/json")
+
+    async def _evacuate(self, request: web.Request) -> web.StreamResponse:
+        zone = request.match_info["zone"]
+        if zone not in self._zones:
+            return reply(404, f"no zone {zone!r}")
+        outcome = await self._orders.evacuate(zone, request.match_info["step"] == "start")
+        return self._answer(request, outcome)
+
+    async def _heartbeat(self, request: web.Request) -> web.StreamResponse:
+        instance = request.match_info["instance"]
+        body = await read_body(request)
+        if len(body) > BODY_MOST:
+            return reply(413, f"a heartbeat holds {BODY_MOST} bytes at most")
+        match read_heartbeat(instance, body, self._gossip.me.node):
+            case Failure(invalid):
+                return reply(400, *invalid.faults)
+            case Success(beat):
+                now = asyncio.get_running_loop().time()
+                item = self._heartbeats.take(beat, self._gossip.catalog, now)
+                if item:
+                    self._gossip.publish([item])
+        return reply(200)
+
+    async def _deregister(self, request: web.Request) -> web.StreamResponse:
+        item = self._heartbeats.deregister(request.match_info["instance"], self._gossip.catalog)
+        if item:
+            self._gossip.publish([item])
+        return reply(200)
+
+    def _answer(self, request: web.Request, outcome: Outcome) -> web.StreamResponse:
+        match outcome.verdict:
+            case Verdict.DONE:
+                return reply(200)
+            case Verdict.STALE:
+                return reply(412, "another version is current")
+            case Verdict.INVALID:
+                return reply(400, *outcome.faults)
+            case Verdict.ELSEWHERE:
+                primary = self._primary()
+                if primary:
+                    return reply(307, Location=f"http://{primary.control}{request.raw_path}")
+        return reply(503, "no answer yet: send it again", Retry_After=str(RETRY_AFTER_S))
+
+
+async def read_body(request: web.Request) -> bytes:
+    """The whole body, in good time. Raises `TimeoutError`, or aiohttp's answer for one that is too large."""
+    async with asyncio.timeout(BODY_S):
+        return await request.read()
+
+
+@web.middleware
+async def errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """No call ends without an answer in JSON."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        return reply(error.status, error.reason)
+    except TimeoutError:
+        return reply(408, "the body did not come in time")
+    except json.JSONDecodeError as error:
+        return reply(400, str(error))
--- /dev/null
+++ b/fordtrestle/dissemination/catalog.py
@@ -0,0 +1,155 @@
+"""The newest item of each key, and its reconciliation with another process's by digests of ranges.
+
+Bounded: at most `ITEMS_MOST` keys. Items of what is gone stay as tombstones as long as an old message may
+travel.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Iterator
+
+from fordtrestle.dissemination.items import (
+    CONTROL_KEY,
+    MEMBER_PREFIX,
+    SERVER_PREFIX,
+    Availability,
+    ControlView,
+    Item,
+    MemberRecord,
+    Phase,
+    ServerRecord,
+    Version,
+)
+from fordtrestle.dissemination.messages import GossipMessage, RangeDigests, RangeVersions, Update, Want
+
+RANGES = 16
+DIGEST_BYTES = 8
+ITEMS_MOST = 20_000
+TOMBSTONE_S = 120.0
+
+
+def range_of(key: str) -> int:
+    """The range that a key falls into."""
+    return hashlib.blake2b(key.encode(), digest_size=1).digest()[0] % RANGES
+
+
+def _fingerprint(item: Item) -> int:
+    text = f"{item.key}@{item.version}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest(), "big")
+
+
+def is_tombstone(item: Item) -> bool:
+    """Whether the item says that something is gone for good."""
+    value = item.value
+    if isinstance(value, ServerRecord):
+        return value.phase is Phase.GONE
+    return isinstance(value, MemberRecord) and value.availability is Availability.DOWN
+
+
+class Catalog:
+    """All items that one process holds."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._digests = [0] * RANGES  # XOR of the fingerprints of a range's items
+        self._taken_at: dict[str, float] = {}  # of tombstones
+
+    def get(self, key: str) -> Item | None:
+        """The newest item of a key."""
+        return self._items.get(key)
+
+    @property
+    def control(self) -> ControlView | None:
+        """What was decided, as far as it has come here."""
+        item = self._items.get(CONTROL_KEY)
+        return item.value if item and isinstance(item.value, ControlView) else None
+
+    def servers(self) -> Iterator[tuple[ServerRecord, Version]]:
+        """All servers that are known, those that are gone too."""
+        for key, item in self._items.items():
+            if key.startswith(SERVER_PREFIX) and isinstance(item.value, ServerRecord):
+                yield item.value, item.version
+
+    def members(self) -> Iterator[tuple[MemberRecord, Version]]:
+        """All processes that are known, those that are down too."""
+        for key, item in self._items.items():
+            if key.startswith(MEMBER_PREFIX) and isinstance(item.value, MemberRecord):
+                yield item.value, item.version
+
+    def merge(self, items: Iterable[Item], now: float) -> list[Item]:
+        """Take in what is newer; those items."""
+        fresh = []
+        for item in items:
+            known = self._items.get(item.key)
+            if known and known.version >= item.version:
+                continue
+            if known is None and len(self._items) >= ITEMS_MOST:
+                continue
+            self._put(known, item, now)
+            fresh.append(item)
+        return fresh
+
+    def expire(self, now: float) -> None:
+        """Forget tombstones that no old message can contradict any more."""
+        for key, at in list(self._taken_at.items()):
+            if now - at > TOMBSTONE_S:
+                item = self._items.pop(key)
+                self._digests[range_of(key)] ^= _fingerprint(item)
+                del self._taken_at[key]
+
+    def digests(self) -> RangeDigests:
+        """What tells another process whether it holds the same."""
+        return RangeDigests(tuple(digest.to_bytes(DIGEST_BYTES, "big") for digest in self._digests))
+
+    def answer(self, message: GossipMessage) -> list[GossipMessage]:
+        """What to send back to a peer; updates are merged by `merge`, not here."""
+        match message:
+            case RangeDigests(theirs):
+                return self._versions_where(theirs)
+            case RangeVersions(ranges, versions):
+                return self._difference(frozenset(ranges), dict(versions))
+            case Want(keys):
+                found = tuple(self._items[key] for key in keys if key in self._items)
+                return [Update(found)] if found else []
+        return []
+
+    def _versions_where(self, theirs: tuple[bytes, ...]) -> list[GossipMessage]:
+        ours = self.digests().digests
+        differing = tuple(
+            index for index, (one, other) in enumerate(zip(ours, theirs, strict=False)) if one != other
+        )
+        if not differing:
+            return []
+        versions = tuple(
+            (key, item.version) for key, item in self._items.items() if range_of(key) in differing
+        )
+        return [RangeVersions(differing, versions)]
+
+    def _difference(self, ranges: frozenset[int], theirs: dict[str, Version]) -> list[GossipMessage]:
+        newer = tuple(
+            item
+            for key, item in self._items.items()
+            if range_of(key) in ranges and item.version > theirs.get(key, ())
+        )
+        wanted = tuple(
+            key
+            for key, version in theirs.items()
+            if (known := self._items.get(key)) is None or known.version < version
+        )
+        answers: list[GossipMessage] = []
+        if newer:
+            answers.append(Update(newer))
+        if wanted:
+            answers.append(Want(wanted))
+        return answers
+
+    def _put(self, known: Item | None, item: Item, now: float) -> None:
+        if known:
+            self._digests[range_of(item.key)] ^= _fingerprint(known)
+        self._digests[range_of(item.key)] ^= _fingerprint(item)
+        self._items[item.key] = item
+        if is_tombstone(item):
+            self._taken_at[item.key] = now
+        else:
+            self._taken_at.pop(item.key, None)
--- /dev/null
+++ b/fordtrestle/dissemination/messages.py
@@ -0,0 +1,39 @@
+"""What processes tell each other to bring their catalogs into line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fordtrestle.dissemination.items import Item, Version
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """Items that are new to the sender, or that were asked for."""
+
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RangeDigests:
+    """A digest of each range of keys: what differs is looked into."""
+
+    digests: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RangeVersions:
+    """All keys that the sender holds in these ranges, with their versions."""
+
+    ranges: tuple[int, ...]
+    versions: tuple[tuple[str, Version], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """Asks for items."""
+
+    keys: tuple[str, ...]
+
+
+GossipMessage = Update | RangeDigests | RangeVersions | Want
--- /dev/null
+++ b/fordtrestle/forward/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards the servers of services."""
--- /dev/null
+++ b/fordtrestle/forward/client.py
@@ -0,0 +1,139 @@
+"""Sends requests to servers and says what the outcome proves.
+
+aiohttp would send some methods a second time by itself when a kept connection ends without an answer, follow
+redirects, keep cookies, decode bodies and normalise targets: all of that is turned off here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from fordtrestle.forward.headers import NOT_EXECUTED, REQUEST_ID
+
+CONNECT_S = 0.5
+KEEP_ALIVE_S = 4.0  # that an unused connection is kept
+CONNECTIONS_MOST = 1024
+UNACKNOWLEDGED_MS = 1500  # that sent bytes may go unacknowledged: the server's machine is gone or cut off
+HEADER_MOST = 64 * 1024
+_SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+_BROKEN = (aiohttp.ClientError, OSError, EOFError, ValueError)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The head of the server's answer has come: it took the request."""
+
+    response: aiohttp.ClientResponse
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The server says that it has not run the request and never will."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No connection came up: the request was not sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The connection ended, or what came was no answer to this request: it may have run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """The time is up; the server may be at it still."""
+
+
+Outcome = Answered | Rejected | Unreachable | Broken | Overdue
+
+
+@dataclass(frozen=True, slots=True)
+class Outbound:
+    """A request as it goes to one server."""
+
+    method: str
+    target: str  # path and query, as the client wrote them
+    headers: CIMultiDict[str]
+    body: bytes
+    request_id: str
+
+
+class Forwarder:
+    """The connections to all servers."""
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=CONNECTIONS_MOST,
+            keepalive_timeout=KEEP_ALIVE_S,
+            use_dns_cache=False,
+            family=socket.AF_INET,
+            happy_eyeballs_delay=None,
+            socket_factory=_open_socket,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+            max_line_size=HEADER_MOST,
+            max_field_size=HEADER_MOST,
+            requote_redirect_url=False,
+        )
+        # A request must not be sent again unknown to us: whether it may be is a matter of its route.
+        self._session._retry_connection = False
+
+    async def send(self, address: str, outbound: Outbound, deadline: float) -> Outcome:
+        """Send a request and wait for the head of its answer; `deadline` in s of the loop's clock."""
+        url = URL(f"http://{address}{outbound.target}", encoded=True)
+        try:
+            async with asyncio.timeout_at(deadline):
+                response = await self._session.request(
+                    outbound.method,
+                    url,
+                    headers=outbound.headers,
+                    data=outbound.body or None,
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Unreachable()
+        except TimeoutError:
+            return Overdue()
+        except _BROKEN:
+            return Broken()
+        if response.headers.get(REQUEST_ID) != outbound.request_id:
+            response.close()  # a surplus answer to an earlier request: it proves nothing of this one
+            return Broken()
+        if NOT_EXECUTED in response.headers or response.status == 421:
+            response.release()
+            return Rejected(response.status)
+        return Answered(response)
+
+    async def close(self) -> None:
+        """End all connections."""
+        await self._session.close()
+
+
+def _open_socket(address: tuple[Any, ...]) -> socket.socket:
+    family, kind, protocol = address[0], address[1], address[2]
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    return sock
+
+
+def has_whole_length(headers: Mapping[str, str], most: int) -> bool:
+    """Whether an answer says that it is short enough to be read whole before it is passed on."""
+    length = headers.get("Content-Length", "")
+    return length.isascii() and length.isdigit() and int(length) <= most
--- /dev/null
+++ b/fordtrestle/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP from clients: requests, readiness, directory."""
--- /dev/null
+++ b/fordtrestle/ingress/directory.py
@@ -0,0 +1,55 @@
+"""The `directory` endpoint: which sidecars a client may connect to (PROTOCOL: ingress)."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection
+
+from aiohttp import web
+
+from fordtrestle.dissemination.catalog import Catalog
+from fordtrestle.dissemination.items import Availability, MemberRecord
+
+ADDRESSES_MOST = 64
+TTL_S = 2.0
+
+
+def choose_fronts(
+    members: Collection[MemberRecord], in_touch: Collection[str], region: str, zone: str
+) -> list[MemberRecord]:
+    """The sidecars for a client: those of its zone, else of its region, else all; those in touch first."""
+    ready = [member for member in members if member.front and member.availability is Availability.READY]
+    heard = [member for member in ready if member.node in in_touch]
+    for among in (heard, ready):
+        near = [member for member in among if member.zone == zone]
+        near = near or [member for member in among if member.region == region]
+        if near or among:
+            return near or among
+    return []
+
+
+class Directory:
+    """Answers from the catalog."""
+
+    def __init__(
+        self, catalog: Catalog, in_touch: Callable[[], Collection[str]], ttl_most_s: float, rng: random.Random
+    ) -> None:
+        self._catalog = catalog
+        self._in_touch = in_touch
+        self._ttl_s = min(TTL_S, ttl_most_s)
+        self._rng = rng
+
+    def application(self) -> web.Application:
+        """The routes of the endpoint."""
+        application = web.Application()
+        application.add_routes([web.get("/v1/resolve", self._resolve)])
+        return application
+
+    async def _resolve(self, request: web.Request) -> web.StreamResponse:
+        members = [member for member, _ in self._catalog.members()]
+        region, zone = request.query.get("region", ""), request.query.get("zone", "")
+        fronts = choose_fronts(members, self._in_touch(), region, zone)
+        if not fronts:
+            return web.json_response({"errors": ["no sidecar is ready"]}, status=503)
+        drawn = self._rng.sample(fronts, min(len(fronts), ADDRESSES_MOST))
+        return web.json_response({"addresses": [member.front for member in drawn], "ttl_s": self._ttl_s})
--- /dev/null
+++ b/fordtrestle/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Transport between the processes of one deployment."""
--- /dev/null
+++ b/fordtrestle/peer/connection.py
@@ -0,0 +1,84 @@
+"""One connection between two processes: frames of a length and a CBOR message, probes, deadlines."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+from fordtrestle.peer.codec import CodecError, decode, encode
+
+_LENGTH = struct.Struct(">I")
+FRAME_MOST = 32 * 1024 * 1024
+BUFFER_MOST = 8 * 1024 * 1024  # unsent bytes; beyond them the peer does not read and is given up
+PROBE_S = 0.4  # of silence of our own, then a probe
+SILENCE_MOST_S = 1.6  # of the peer's silence, then the connection is given up
+_PROBE = _LENGTH.pack(0)
+_GONE = (OSError, EOFError, asyncio.IncompleteReadError, CodecError)
+
+
+class Connection:
+    """Sends without waiting and hands over what comes. `run` returns when the connection has ended."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._sent_at = asyncio.get_running_loop().time()
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, message: Any) -> bool:
+        """Send a message; whether the connection still takes any."""
+        return self._write(encode(message))
+
+    async def receive(self) -> Any:
+        """The next message. Raises what `_GONE` lists, or `TimeoutError` after the peer's silence."""
+        while True:
+            async with asyncio.timeout(SILENCE_MOST_S):
+                length = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))[0]
+                if length > FRAME_MOST:
+                    raise CodecError(f"a frame of {length} bytes")
+                if length:
+                    return decode(await self._reader.readexactly(length))
+
+    async def run(self, received: Callable[[Any], None]) -> None:
+        """Hand over messages until the connection ends."""
+        probing = asyncio.create_task(self._probe())
+        try:
+            while True:
+                received(await self.receive())
+        except (*_GONE, TimeoutError):
+            return
+        finally:
+            probing.cancel()
+            self.close()
+
+    def close(self) -> None:
+        """End the connection at once."""
+        with contextlib.suppress(OSError, RuntimeError):
+            self._writer.transport.abort()
+
+    def _write(self, payload: bytes) -> bool:
+        transport = self._writer.transport
+        if transport.is_closing() or len(payload) > FRAME_MOST:
+            return False
+        if transport.get_write_buffer_size() > BUFFER_MOST:
+            self.close()
+            return False
+        transport.write(_LENGTH.pack(len(payload)) + payload)
+        self._sent_at = asyncio.get_running_loop().time()
+        return True
+
+    async def _probe(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._writer.transport.is_closing():
+            wait = self._sent_at + PROBE_S - loop.time()
+            if wait > 0:
+                await asyncio.sleep(wait)
+                continue
+            self._writer.transport.write(_PROBE)
+            self._sent_at = loop.time()
--- /dev/null
+++ b/fordtrestle/peer/mesh.py
@@ -0,0 +1,139 @@
+"""The connections of one process with others: dialled by either side, at most one used towards a node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection
+from typing import Any
+
+from fordtrestle.peer.codec import CodecError, Hello
+from fordtrestle.peer.connection import Connection
+from fordtrestle.settings.boot import Address
+
+DIAL_S = 0.8
+REDIAL_S = 0.3
+HELLO_S = 2.0
+LINKS_MOST = 2048  # connections that others have opened
+_FAILED = (OSError, EOFError, TimeoutError, asyncio.IncompleteReadError, CodecError)
+
+
+class Link:
+    """A connection whose other side is known."""
+
+    def __init__(self, hello: Hello, connection: Connection) -> None:
+        self.node = hello.node
+        self.peer = hello.peer
+        self._connection = connection
+
+    def send(self, message: Any) -> bool:
+        """Send a message; whether the connection still takes any."""
+        return self._connection.send(message)
+
+    def close(self) -> None:
+        """End the connection."""
+        self._connection.close()
+
+
+Received = Callable[[Link, Any], None]
+
+
+class Mesh:
+    """Listens, dials the addresses it is given, and keeps the links that are up."""
+
+    def __init__(self, me: Hello, received: Received, linked: Callable[[Link], None]) -> None:
+        self._me = me
+        self._received = received
+        self._linked = linked
+        self._links: dict[str, list[Link]] = {}  # by node, the newest last
+        self._dials: dict[str, asyncio.Task[None]] = {}  # by address
+        self._server: asyncio.Server | None = None
+        self._accepted = 0
+
+    async def listen(self, address: Address) -> None:
+        """Take connections at this address. Raises `OSError`."""
+        self._server = await asyncio.start_server(self._accept, address.host, address.port, backlog=512)
+
+    def dial(self, addresses: Collection[str]) -> None:
+        """Keep a connection to each of these, and to no others."""
+        wanted = set(addresses) - {self._me.peer}
+        for address in set(self._dials) - wanted:
+            self._dials.pop(address).cancel()
+        for address in wanted - set(self._dials):
+            self._dials[address] = asyncio.create_task(self._keep_dialled(address))
+
+    def links(self) -> list[Link]:
+        """The link to each node that one is up to."""
+        return [links[-1] for links in self._links.values()]
+
+    def link(self, node: str) -> Link | None:
+        """The newest link to a node."""
+        links = self._links.get(node)
+        return links[-1] if links else None
+
+    def link_at(self, peer: str) -> Link | None:
+        """A link to whoever listens at that address."""
+        return next((link for link in self.links() if link.peer == peer), None)
+
+    def broadcast(self, message: Any, but: Link | None = None) -> None:
+        """Send to every node with a link, except to one's."""
+        for link in self.links():
+            if but is None or link.node != but.node:
+                link.send(message)
+
+    async def close(self) -> None:
+        """End all."""
+        for dial in self._dials.values():
+            dial.cancel()
+        if self._server:
+            self._server.close()
+        for link in [link for links in self._links.values() for link in links]:
+            link.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = Connection(reader, writer)
+        if self._accepted >= LINKS_MOST:
+            connection.close()
+            return
+        self._accepted += 1
+        try:
+            async with asyncio.timeout(HELLO_S):
+                hello = await connection.receive()
+            connection.send(self._me)
+            await self._run(hello, connection)
+        except _FAILED:
+            connection.close()
+        finally:
+            self._accepted -= 1
+
+    async def _keep_dialled(self, address: str) -> None:
+        where = Address.parse(address)
+        while True:
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    reader, writer = await asyncio.open_connection(where.host, where.port)
+                connection = Connection(reader, writer)
+                try:
+                    connection.send(self._me)
+                    async with asyncio.timeout(HELLO_S):
+                        hello = await connection.receive()
+                    await self._run(hello, connection)
+                finally:
+                    connection.close()
+            except _FAILED:
+                pass
+            await asyncio.sleep(REDIAL_S)
+
+    async def _run(self, hello: Any, connection: Connection) -> None:
+        if not isinstance(hello, Hello) or hello.node == self._me.node:
+            connection.close()
+            return
+        link = Link(hello, connection)
+        self._links.setdefault(link.node, []).append(link)
+        try:
+            self._linked(link)
+            await connection.run(lambda message: self._received(link, message))
+        finally:
+            links = self._links[link.node]
+            links.remove(link)
+            if not links:
+                del self._links[link.node]
--- /dev/null
+++ b/fordtrestle/peer/replicator.py
@@ -0,0 +1,132 @@
+"""Drives a replication node: its records are synced before what rests on them is sent or said."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from fordtrestle.peer.codec import Envelope, encode
+from fordtrestle.peer.mesh import Mesh
+from fordtrestle.replication.messages import Announce, Message
+from fordtrestle.replication.node import Effects, Node
+from fordtrestle.storage.log import RecordLog, StorageError
+
+TICK_S = 0.05
+ANNOUNCE_S = 0.4
+DISK_RETRY_S = 0.2
+
+
+class Replicator:
+    """Timers, disk and links of one node. All of it on one event loop but for the disk."""
+
+    def __init__(self, node: Node, log: RecordLog, mesh: Mesh, changed: Callable[[], None]) -> None:
+        self.node = node
+        self._log = log
+        self._mesh = mesh
+        self._changed = changed
+        self._queue: list[Effects] = []
+        self._work = asyncio.Event()
+        self._progress = asyncio.Event()
+        self._syncing_since: float | None = None
+        self._peers: dict[str, str] = {}  # by store: HOST:PORT of its process
+
+    @staticmethod
+    def now() -> float:
+        """Seconds of the steady clock."""
+        return asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """Act until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._tick())
+            tasks.create_task(self._sync())
+
+    def received(self, message: Envelope | Announce) -> None:
+        """Take in a message from another control process."""
+        if isinstance(message, Announce):
+            self._peers[message.store.id] = message.store.address
+            self.node.receive(message.store.id, message, self.now())
+        elif message.receiver == self.node.me.id:
+            self.node.receive(message.sender, message.message, self.now())
+        self.pump()
+
+    def pump(self) -> None:
+        """Queue what the node wants done."""
+        effects = self.node.drain()
+        if effects:
+            self._queue.append(effects)
+            self._work.set()
+        self._progress.set()
+        self._changed()
+
+    async def until(self, reached: Callable[[], bool], seconds: float) -> bool:
+        """Wait until something holds that the node's progress brings about; whether it did in time."""
+        try:
+            async with asyncio.timeout(seconds):
+                while not reached():
+                    self._progress.clear()
+                    await self._progress.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _tick(self) -> None:
+        announce_at = 0.0
+        while True:
+            now = self.now()
+            syncing = now - self._syncing_since if self._syncing_since is not None else 0.0
+            self.node.tick(now, syncing)
+            if now >= announce_at:
+                announce_at = now + ANNOUNCE_S
+                if syncing < TICK_S * 10:
+                    self._mesh.broadcast(self.node.announcement())
+            self.pump()
+            await asyncio.sleep(TICK_S)
+
+    async def _sync(self) -> None:
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            batch, self._queue = self._queue, []
+            await self._write(batch)
+            for effects in batch:
+                for receiver, message in effects.messages:
+                    self._deliver(receiver, message)
+            self.pump()
+
+    async def _write(self, batch: list[Effects]) -> None:
+        records: list[Any] = []
+        rewrite = False
+        for effects in batch:
+            records = list(effects.records) if effects.rewrite else records + effects.records
+            rewrite = rewrite or effects.rewrite
+        if not records:
+            return
+        self._syncing_since = self.now()
+        write = self._log.rewrite if rewrite else self._log.append
+        while True:
+            try:
+                await asyncio.to_thread(write, list(map(encode, records)))
+                break
+            except StorageError:
+                # The disk is full or refuses writes: nothing is said until one image of all has been taken.
+                await asyncio.sleep(DISK_RETRY_S)
+                records, write = list(self.node.durable.image()), self._log.rewrite
+        self._syncing_since = None
+
+    def _deliver(self, receiver: str, message: Message) -> None:
+        if receiver == self.node.me.id:
+            self.node.receive(receiver, message, self.now())
+            return
+        link = self._mesh.link_at(self._address_of(receiver))
+        if link:
+            link.send(Envelope(self.node.me.id, receiver, message))
+
+    def _address_of(self, store_id: str) -> str:
+        known = self._peers.get(store_id)
+        if known:
+            return known
+        accepted = self.node.durable.accepted
+        store = accepted.store(store_id) if accepted else None
+        return store.address if store else ""
--- /dev/null
+++ b/fordtrestle/replication/durable.py
@@ -0,0 +1,90 @@
+"""What one store holds on disk: its votes as a witness and the state as a replica. Pure.
+
+Every method that changes something returns the records that have to be synced before anyone is told.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch
+from fordtrestle.replication.messages import Entry, Image, Record, Vote
+from fordtrestle.replication.state import Change, ControlState
+
+
+@dataclass(slots=True)
+class Durable:
+    """One store. `installed` is the ballot under which its state was last made whole."""
+
+    store: str
+    promised: Ballot = NO_BALLOT
+    accepted: Epoch | None = None
+    installed: Ballot = NO_BALLOT
+    state: ControlState = field(default_factory=ControlState)
+
+    @classmethod
+    def restore(cls, records: Iterable[Record]) -> Durable | None:
+        """What the records of a disk come to; nothing if it never held a store."""
+        found: Durable | None = None
+        for record in records:
+            if isinstance(record, Vote):
+                found = found or cls(record.store)
+                found.promised, found.accepted = record.promised, record.accepted
+            elif found and isinstance(record, Image):
+                found.installed, found.state = record.ballot, record.state
+            elif found and isinstance(record, Entry):
+                found.state = found.state.apply(record.change)
+        return found
+
+    def image(self) -> Sequence[Record]:
+        """The fewest records that restore this store."""
+        return [self._vote(), Image(self.installed, self.state)]
+
+    def promise(self, ballot: Ballot) -> Sequence[Record] | None:
+        """Promise a ballot; nothing where a newer one was promised."""
+        if ballot < self.promised:
+            return None
+        if ballot == self.promised:
+            return []
+        self.promised = ballot
+        return [self._vote()]
+
+    def accept(self, epoch: Epoch) -> Sequence[Record] | None:
+        """Hold an epoch as the newest; nothing where a newer ballot was promised."""
+        if epoch.ballot < self.promised:
+            return None
+        if self.accepted and epoch.ballot == self.accepted.ballot:
+            return []
+        self.promised, self.accepted = epoch.ballot, epoch
+        return [self._vote()]
+
+    def settle(self, epoch: Epoch) -> Sequence[Record]:
+        """Take in an epoch that another store tells of."""
+        known = self.accepted
+        if known and (epoch.ballot < known.ballot or epoch == known):
+            return []
+        if known and epoch.ballot == known.ballot and epoch.earlier:
+            return []  # it is known by now that this epoch is open
+        self.promised, self.accepted = max(self.promised, epoch.ballot), epoch
+        return [self._vote()]
+
+    def install(self, ballot: Ballot, state: ControlState) -> Sequence[Record] | None:
+        """Take over a candidate's state; nothing where a newer ballot was promised."""
+        records = self.promise(ballot)
+        if records is None or (ballot == self.installed and state.sequence < self.state.sequence):
+            return None
+        self.installed, self.state = ballot, state
+        return [*records, Image(ballot, state)]
+
+    def append(self, ballot: Ballot, sequence: int, change: Change) -> Sequence[Record] | None:
+        """Take one write of the epoch that this state was installed for; nothing where it does not fit."""
+        if ballot != self.installed or ballot < self.promised or sequence > self.state.sequence + 1:
+            return None
+        if sequence <= self.state.sequence:
+            return []
+        self.state = self.state.apply(change)
+        return [Entry(ballot, sequence, change)]
+
+    def _vote(self) -> Vote:
+        return Vote(self.store, self.promised, self.accepted)
--- /dev/null
+++ b/fordtrestle/replication/epochs.py
@@ -0,0 +1,84 @@
+"""Epochs, the ballots that open them, and the quorums of witnesses that an opening needs."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Ballot:
+    """Number of an epoch. Two candidates never share one: the store's id is part of it."""
+
+    number: int
+    store: str
+
+
+NO_BALLOT = Ballot(0, "")
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """One disk's identity, drawn at random when it is found empty, and the machine it is in."""
+
+    id: str
+    address: str  # HOST:PORT of the machine's internal endpoint
+    control: str  # HOST:PORT of its `control` endpoint, to which callers are redirected
+    zone: str
+
+
+def majority(voted: Collection[str], witnesses: Collection[str]) -> bool:
+    """Whether more than half of these witnesses are among those that voted."""
+    return 2 * sum(witness in voted for witness in witnesses) > len(witnesses)
+
+
+@dataclass(frozen=True, slots=True)
+class Epoch:
+    """Who serves: a primary, all replicas that each write needs, the witnesses that a later epoch needs.
+
+    `earlier` holds the witness sets whose majorities are needed besides, until it is known that this epoch
+    was accepted by a majority of each: before that, a later candidate may have heard of it from a minority
+    alone.
+    """
+
+    ballot: Ballot
+    primary: str
+    replicas: tuple[str, ...]
+    witnesses: tuple[Store, ...]
+    earlier: tuple[tuple[str, ...], ...] = ()
+
+    @property
+    def witness_ids(self) -> tuple[str, ...]:
+        return tuple(store.id for store in self.witnesses)
+
+    @property
+    def quorums(self) -> tuple[tuple[str, ...], ...]:
+        """The witness sets of each of which a majority has to vote."""
+        return tuple(dict.fromkeys((*self.earlier, self.witness_ids)))
+
+    def settled(self) -> Epoch:
+        """This epoch once it is open: earlier witness sets are not asked any more."""
+        return replace(self, earlier=())
+
+    def store(self, store_id: str) -> Store | None:
+        """The witness of that id."""
+        return next((store for store in self.witnesses if store.id == store_id), None)
+
+
+def supported(voted: Collection[str], quorums: Iterable[tuple[str, ...]]) -> bool:
+    """Whether a majority of each of these sets has voted."""
+    return all(majority(voted, quorum) for quorum in quorums)
+
+
+def choose_replicas(primary: Store, live: Iterable[Store], count: int) -> tuple[str, ...]:
+    """The primary and others that are live, each in a zone of its own as far as there are some."""
+    chosen, zones = [primary.id], {primary.zone}
+    others = sorted((store for store in live if store.id != primary.id), key=lambda store: store.id)
+    for store in sorted(others, key=lambda store: store.zone in zones):
+        if len(chosen) < count and store.zone not in zones:
+            chosen.append(store.id)
+            zones.add(store.zone)
+    for store in others:
+        if len(chosen) < count and store.id not in chosen:
+            chosen.append(store.id)
+    return tuple(chosen)
--- /dev/null
+++ b/fordtrestle/replication/messages.py
@@ -0,0 +1,165 @@
+"""What control processes tell each other about epochs and writes, and what they put on disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fordtrestle.replication.epochs import Ballot, Epoch, Store
+from fordtrestle.replication.state import Change, ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """A store is up. `counts`: whether its machine counts for the quorum."""
+
+    store: Store
+    counts: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """From the primary: its epoch is open, and all up to `committed` is on all replicas."""
+
+    epoch: Epoch
+    round: int
+    committed: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """The witness has promised nothing newer than this ballot."""
+
+    ballot: Ballot
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class Canvass:
+    """A replica misses its primary: would a prepare be heeded?"""
+
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class CanvassAck:
+    """The witness misses the primary as well; `promised` is the ballot to exceed."""
+
+    round: int
+    promised: Ballot
+    accepted: Epoch | None
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Asks a witness to promise that it takes no part in any older ballot."""
+
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Promised:
+    """The promise, and the newest epoch that the witness has accepted."""
+
+    ballot: Ballot
+    accepted: Epoch | None
+
+
+@dataclass(frozen=True, slots=True)
+class Install:
+    """The candidate's whole state, for a replica of the epoch that it opens."""
+
+    ballot: Ballot
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Installed:
+    """That state is on disk."""
+
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Asks a witness to hold this epoch as the newest."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """It is on disk."""
+
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """One write, for a replica of the epoch of that ballot."""
+
+    ballot: Ballot
+    sequence: int
+    change: Change
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """All writes up to `sequence` are on disk."""
+
+    ballot: Ballot
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The witness has promised a newer ballot than the one it was asked about."""
+
+    ballot: Ballot
+    promised: Ballot
+
+
+Message = (
+    Announce
+    | Heartbeat
+    | HeartbeatAck
+    | Canvass
+    | CanvassAck
+    | Prepare
+    | Promised
+    | Install
+    | Installed
+    | Accept
+    | Accepted
+    | Append
+    | Appended
+    | Rejected
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Vote:
+    """On disk: what this store has promised and accepted as a witness."""
+
+    store: str
+    promised: Ballot
+    accepted: Epoch | None
+
+
+@dataclass(frozen=True, slots=True)
+class Image:
+    """On disk: the whole state, as of the ballot under which it was installed."""
+
+    ballot: Ballot
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """On disk: one write behind the image or entry before it."""
+
+    ballot: Ballot
+    sequence: int
+    change: Change
+
+
+Record = Vote | Image | Entry
--- /dev/null
+++ b/fordtrestle/replication/node.py
@@ -0,0 +1,456 @@
+"""One control process in the replication of control state: witness, replica, candidate and primary. Pure.
+
+Messages, the time and what the disk has synced are handed in; `drain` gives records to sync, and what may be
+sent or said only after that sync. A store sends to itself through the same way, so that its own votes count
+no sooner.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from fordtrestle.replication import messages as wire
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch, Store, majority, supported
+from fordtrestle.replication.messages import Message, Record
+from fordtrestle.replication.opening import Opening, Outgoing, plan_witnesses
+from fordtrestle.replication.state import Change, ControlState
+
+HEARTBEAT_S = 0.25
+HEARD_S = 1.0  # a store not heard for longer is not live
+ELECTION_S = 1.2  # without a heartbeat for so long a replica asks whether others miss it, too
+ELECTION_RANK_S = 0.4  # later by so much for each replica before it, so that they do not collide
+ELECTION_JITTER_S = 0.2
+REPEAT_S = 0.4
+OPENING_MOST_S = 2.5  # an opening that takes longer is begun anew
+REPLACE_S = 2.0  # a witness silent for so long may give its place to a new store
+STALLED_S = 0.6  # a sync that takes longer: the primary falls silent, so that another takes over
+FORGET_S = 60.0  # a store not heard for so long is forgotten until it announces itself
+REWRITE_ENTRIES = 256  # entries behind an image before the file is rewritten
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A write under way; `sequence` is its place in the order."""
+
+    sequence: int
+
+
+@dataclass(slots=True)
+class Effects:
+    """Records to sync, then messages that may be sent."""
+
+    records: list[Record] = field(default_factory=list)
+    rewrite: bool = False  # the records replace all that the file holds
+    messages: list[Outgoing] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.records or self.messages)
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """A store that has announced itself."""
+
+    store: Store
+    counts: bool
+    since: float
+    heard: float
+
+
+class Node:
+    """All that one store knows and does. Times are s of a steady clock."""
+
+    def __init__(
+        self,
+        me: Store,
+        durable: Durable,
+        *,
+        machines: int,
+        counts: bool,
+        draw: Callable[[], float],
+        now: float,
+    ) -> None:
+        self.me = me
+        self.durable = durable
+        self.epoch: Epoch | None = None  # the newest one known to be open
+        self.committed = 0  # sequence up to which all replicas of the epoch hold the state
+        self._target = 2 * machines + 1
+        self._replicas = machines + 1
+        self._counts = counts
+        self._draw = draw  # uniform in [0, 1)
+        self._effects = Effects()
+        self._contacts: dict[str, Contact] = {}
+        self._opening: Opening | None = None
+        self._primary = False
+        self._heartbeat_at = self._election_at = self._repeat_at = now
+        self._round = 0  # of heartbeats, as primary
+        self._confirmed_round = 0
+        self._confirmed_at = now
+        self._acks: dict[str, int] = {}  # round that each witness has answered
+        self._appended: dict[str, int] = {}  # sequence that each replica holds
+        self._append_since: float | None = None
+        self._canvass: set[str] | None = None
+        self._canvass_round = 0
+        self._canvass_newest = NO_BALLOT
+        self._entries = 0
+        self._heard_primary = now
+        self._miss(now)
+
+    # what callers ask
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this store acts as primary, as far as it knows."""
+        return self._primary
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether as many hold the state as have to before anything is acknowledged."""
+        epoch = self.epoch
+        return bool(
+            self._primary
+            and epoch
+            and not self._opening
+            and len(epoch.replicas) >= self._replicas
+            and len(epoch.witnesses) >= self._target
+        )
+
+    @property
+    def primary(self) -> Store | None:
+        """Where the primary is thought to be."""
+        epoch = self.epoch or self.durable.accepted
+        return epoch.store(epoch.primary) if epoch else None
+
+    @property
+    def committed_state(self) -> ControlState | None:
+        """The state, where all of it is known to be on all replicas."""
+        state = self.durable.state
+        return state if self._primary and self.committed == state.sequence else None
+
+    def propose(self, change: Change, now: float) -> Ticket | None:
+        """Begin a write; nothing where this store can take none."""
+        if not self.is_ready:
+            return None
+        ballot, sequence = self.durable.installed, self.durable.state.sequence + 1
+        epoch = self.epoch
+        assert epoch is not None
+        if self._append_since is None:
+            self._append_since = now
+        records = self.durable.append(ballot, sequence, change)
+        if records is None:  # a newer ballot was promised: this store is being superseded
+            return None
+        self._write(records)
+        self._send(self.me.id, wire.Appended(ballot, sequence))
+        for replica in epoch.replicas:
+            if replica != self.me.id:
+                self._send(replica, wire.Append(ballot, sequence, change))
+        return Ticket(sequence)
+
+    def ask_round(self, now: float) -> int:
+        """Ask all witnesses whether this is still the newest epoch; the round that will tell."""
+        if self._opening:
+            return self._round + 1  # of the epoch that is being opened
+        self._beat(now)
+        return self._round
+
+    def confirmed(self, round_number: int) -> bool:
+        """Whether a majority has answered a round that was asked no earlier."""
+        return self._primary and self._confirmed_round >= round_number
+
+    # events
+
+    def drain(self) -> Effects:
+        """What is to be synced and then sent."""
+        effects, self._effects = self._effects, Effects()
+        if self._entries >= REWRITE_ENTRIES and effects.records:
+            effects.records, effects.rewrite = list(self.durable.image()), True
+            self._entries = 0
+        return effects
+
+    def tick(self, now: float, syncing_s: float = 0.0) -> None:
+        """Let timers act; `syncing_s` is for how long the disk has been at the oldest sync."""
+        stalled = syncing_s > STALLED_S
+        if self._opening:
+            self._tend_opening(now)
+        elif self._primary:
+            if not stalled:
+                self._tend_epoch(now)
+        elif not stalled and now >= self._election_at:
+            self._ask_for_election(now)
+        if self._primary and not (self._opening or stalled) and now >= self._heartbeat_at:
+            self._beat(now)
+
+    def receive(self, sender: str, message: Message, now: float) -> None:
+        """Take in a message from a store."""
+        match message:
+            case wire.Announce():
+                self._meet(message, now)
+            case wire.Heartbeat():
+                self._take_heartbeat(sender, message, now)
+            case wire.HeartbeatAck():
+                self._take_heartbeat_ack(sender, message, now)
+            case wire.Canvass():
+                self._answer_canvass(sender, message, now)
+            case wire.CanvassAck():
+                self._take_canvass_ack(sender, message, now)
+            case wire.Rejected():
+                self._take_rejection(message, now)
+            case wire.Appended():
+                self._take_appended(sender, message)
+            case wire.Prepare() | wire.Install() | wire.Accept() | wire.Append():
+                self._vote(sender, message, now)
+            case wire.Promised() | wire.Installed() | wire.Accepted():
+                self._advance_opening(sender, message, now)
+
+    # witness and replica
+
+    def _vote(
+        self, sender: str, message: wire.Prepare | wire.Install | wire.Accept | wire.Append, now: float
+    ) -> None:
+        answer: Message
+        match message:
+            case wire.Prepare(ballot):
+                records = self.durable.promise(ballot)
+                answer = wire.Promised(ballot, self.durable.accepted)
+            case wire.Install(ballot, state):
+                records = self.durable.install(ballot, state)
+                answer = wire.Installed(ballot)
+            case wire.Accept(epoch):
+                ballot = epoch.ballot
+                records = self.durable.accept(epoch)
+                answer = wire.Accepted(ballot)
+            case wire.Append(ballot, sequence, change):
+                records = self.durable.append(ballot, sequence, change)
+                answer = wire.Appended(ballot, self.durable.state.sequence)
+        if records is None:
+            if self.durable.promised > ballot:
+                self._send(sender, wire.Rejected(ballot, self.durable.promised))
+            return
+        if sender != self.me.id:
+            self._yield_to(ballot, now)
+        self._write(records)
+        self._send(sender, answer)
+
+    def _yield_to(self, ballot: Ballot, now: float) -> None:
+        """Another store acts under this ballot: an older primary or candidate is none any more."""
+        if self._primary and self.epoch and ballot > self.epoch.ballot:
+            self._step_down(now)
+        if self._opening and ballot > self._opening.ballot:
+            self._opening = None
+        self._miss(now)
+
+    def _step_down(self, now: float) -> None:
+        self._primary = False
+        self._append_since = None
+        self._miss(now)
+
+    def _take_heartbeat(self, sender: str, message: wire.Heartbeat, now: float) -> None:
+        epoch = message.epoch
+        if epoch.ballot < self.durable.promised:
+            self._send(sender, wire.Rejected(epoch.ballot, self.durable.promised))
+            return
+        self._write(self.durable.settle(epoch))
+        self._send(sender, wire.HeartbeatAck(epoch.ballot, message.round))
+        self.epoch = epoch
+        if sender == self.me.id:
+            return
+        self._heard_primary = now
+        self._yield_to(epoch.ballot, now)
+
+    # primary
+
+    def _beat(self, now: float) -> None:
+        epoch = self.epoch
+        if not (self._primary and epoch):
+            return
+        self._round += 1
+        self._heartbeat_at = now + HEARTBEAT_S
+        message = wire.Heartbeat(epoch, self._round, self.committed)
+        others = {contact.store.id for contact in self._contacts.values()}
+        for store_id in sorted(others | set(epoch.witness_ids)):
+            self._send(store_id, message)
+
+    def _take_heartbeat_ack(self, sender: str, message: wire.HeartbeatAck, now: float) -> None:
+        epoch = self.epoch
+        if not (self._primary and epoch and message.ballot == epoch.ballot):
+            return
+        self._acks[sender] = max(self._acks.get(sender, 0), message.round)
+        rounds = sorted({self._acks.get(witness, 0) for witness in epoch.witness_ids}, reverse=True)
+        for asked in rounds:
+            reached = {witness for witness, answered in self._acks.items() if answered >= asked}
+            if majority(reached, epoch.witness_ids):
+                if asked > self._confirmed_round:
+                    self._confirmed_round, self._confirmed_at = asked, now
+                return
+
+    def _take_appended(self, sender: str, message: wire.Appended) -> None:
+        epoch = self.epoch
+        if not (self._primary and epoch and message.ballot == epoch.ballot == self.durable.installed):
+            return
+        self._appended[sender] = max(self._appended.get(sender, 0), message.sequence)
+        everywhere = min(self._appended.get(replica, 0) for replica in epoch.replicas)
+        if everywhere > self.committed:
+            self.committed = everywhere
+            self._append_since = None
+
+    def _tend_epoch(self, now: float) -> None:
+        """Change the epoch where a replica is silent, or a store waits for a place."""
+        epoch = self.epoch
+        assert epoch is not None
+        if now - self._confirmed_at > ELECTION_S:
+            self._step_down(now)  # a majority is out of touch: others must be free to elect
+            return
+        live = {self.me.id} | {
+            contact.store.id for contact in self._contacts.values() if now - contact.heard <= HEARD_S
+        }
+        planned = self._plan(epoch, live, now)
+        late = self._append_since is not None and now - self._append_since > HEARD_S
+        replicas_live = live.issuperset(epoch.replicas) and not late
+        spare = live & {store.id for store in planned}
+        too_few = len(epoch.replicas) < min(self._replicas, len(spare))
+        if planned != epoch.witnesses or (not replicas_live and majority(live, epoch.witness_ids)) or too_few:
+            self._open(epoch, planned, now)
+
+    def _plan(self, epoch: Epoch, live: set[str], now: float) -> tuple[Store, ...]:
+        known = set(epoch.witness_ids)
+        newcomers = [
+            contact.store
+            for contact in self._contacts.values()
+            if contact.counts and contact.store.id in live and contact.store.id not in known
+        ]
+        silent = {
+            store.id
+            for store in epoch.witnesses
+            if store.id != self.me.id and now - self._last_heard(store.id) > REPLACE_S
+        }
+        return plan_witnesses(epoch, newcomers, silent, self._target)
+
+    def _last_heard(self, store_id: str) -> float:
+        contact = self._contacts.get(store_id)
+        return contact.heard if contact else self._heard_primary
+
+    # elections
+
+    def _miss(self, now: float) -> None:
+        """Wait for the primary once more before anything is done about it."""
+        replicas = self.durable.accepted.replicas if self.durable.accepted else ()
+        rank = replicas.index(self.me.id) if self.me.id in replicas else len(replicas)
+        wait = ELECTION_S + ELECTION_RANK_S * rank + ELECTION_JITTER_S * self._draw()
+        self._election_at = now + wait
+        self._canvass = None
+
+    def _ask_for_election(self, now: float) -> None:
+        accepted = self.durable.accepted
+        self._miss(now)
+        if not (accepted and self.me.id in accepted.replicas):
+            return
+        self._canvass, self._canvass_newest = set(), self.durable.promised
+        self._canvass_round += 1
+        for witness in sorted({store_id for quorum in accepted.quorums for store_id in quorum}):
+            self._send(witness, wire.Canvass(self._canvass_round))
+
+    def _answer_canvass(self, sender: str, message: wire.Canvass, now: float) -> None:
+        misses = sender == self.me.id or now - self._heard_primary > ELECTION_S
+        if misses and not (self._primary and sender != self.me.id):
+            answer = wire.CanvassAck(message.round, self.durable.promised, self.durable.accepted)
+            self._send(sender, answer)
+
+    def _take_canvass_ack(self, sender: str, message: wire.CanvassAck, now: float) -> None:
+        accepted = self.durable.accepted
+        if self._canvass is None or message.round != self._canvass_round or accepted is None:
+            return
+        if message.accepted and message.accepted.ballot > accepted.ballot:
+            self._write(self.durable.settle(message.accepted))
+            self._miss(now)
+            return
+        self._canvass.add(sender)
+        self._canvass_newest = max(self._canvass_newest, message.promised)
+        if supported(self._canvass, accepted.quorums):
+            self._canvass = None
+            self._open(accepted, accepted.witnesses, now)
+
+    def _open(self, base: Epoch, witnesses: tuple[Store, ...], now: float) -> None:
+        newest = max(self.durable.promised, self._canvass_newest, base.ballot)
+        ballot = Ballot(newest.number + 1, self.me.id)
+        self._append_since = None
+        self._opening = Opening(self.me, ballot, base, witnesses, self._replicas, began=now)
+        self._repeat_at = now + REPEAT_S
+        for receiver, message in self._opening.start():
+            self._send(receiver, message)
+
+    def _tend_opening(self, now: float) -> None:
+        opening = self._opening
+        assert opening is not None
+        if now - opening.began > OPENING_MOST_S:
+            self._opening = None
+            self._step_down(now)
+        elif now >= self._repeat_at:
+            self._repeat_at = now + REPEAT_S
+            for receiver, message in opening.repeat(self.durable.state):
+                self._send(receiver, message)
+
+    def _advance_opening(self, sender: str, message: Message, now: float) -> None:
+        opening = self._opening
+        if opening is None:
+            return
+        for receiver, reply in opening.receive(sender, message, self.durable.state):
+            self._send(receiver, reply)
+        if opening.newer:
+            self._opening = None
+            self._write(self.durable.settle(opening.newer))
+            self._step_down(now)
+        elif opening.opened:
+            self._opening = None
+            self._begin_epoch(opening.opened, now)
+
+    def _begin_epoch(self, epoch: Epoch, now: float) -> None:
+        self.epoch = epoch
+        self._primary = True
+        self._acks.clear()
+        self._confirmed_at = now
+        self.committed = self.durable.state.sequence
+        self._appended = dict.fromkeys(epoch.replicas, self.committed)
+        self._append_since = None
+        self._write(self.durable.settle(epoch))
+        self._beat(now)
+
+    def _take_rejection(self, message: wire.Rejected, now: float) -> None:
+        """A newer ballot is about: stand back, or exceed it at the next try."""
+        self._canvass_newest = max(self._canvass_newest, message.promised)
+        if self._opening and message.ballot == self._opening.ballot:
+            self._opening = None
+            self._step_down(now)
+        elif self.epoch and message.ballot == self.epoch.ballot and message.promised.store != self.me.id:
+            self._step_down(now)
+
+    # founding and acquaintance
+
+    def found(self, now: float) -> None:
+        """Open the first epoch alone: only on an empty disk of the machine that may (`bootstrap`)."""
+        epoch = Epoch(Ballot(1, self.me.id), self.me.id, (self.me.id,), (self.me,))
+        self._write(self.durable.install(epoch.ballot, self.durable.state) or ())
+        self._write(self.durable.accept(epoch) or ())
+        self._begin_epoch(epoch, now)
+
+    def _meet(self, message: wire.Announce, now: float) -> None:
+        known = self._contacts.get(message.store.id)
+        since = known.since if known else now
+        self._contacts[message.store.id] = Contact(message.store, message.counts, since, now)
+        for store_id, contact in list(self._contacts.items()):
+            if contact.store.address == message.store.address and store_id != message.store.id:
+                del self._contacts[store_id]  # that machine has lost the disk of this one
+            elif now - contact.heard > FORGET_S:
+                del self._contacts[store_id]
+
+    def announcement(self) -> wire.Announce:
+        """What this store says of itself."""
+        return wire.Announce(self.me, self._counts)
+
+    def _write(self, records: Sequence[Record]) -> None:
+        self._effects.records.extend(records)
+        self._entries += sum(isinstance(record, wire.Entry) for record in records)
+
+    def _send(self, receiver: str, message: Message) -> None:
+        self._effects.messages.append((receiver, message))
--- /dev/null
+++ b/fordtrestle/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of one role each: processes of the system."""
--- /dev/null
+++ b/fordtrestle/roles/control.py
@@ -0,0 +1,143 @@
+"""The `control` role: custody of the configuration, heartbeats of servers, the directory."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+import eliot
+
+from fordtrestle.control_api.heartbeats import Heartbeats
+from fordtrestle.control_api.http import ControlApi
+from fordtrestle.control_api.orders import Orders
+from fordtrestle.dissemination.items import Availability, ControlView, control_item
+from fordtrestle.ingress.directory import Directory
+from fordtrestle.peer.codec import CodecError, decode, encode
+from fordtrestle.peer.replicator import Replicator
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.epochs import Store
+from fordtrestle.replication.node import Node
+from fordtrestle.roles.process import CONTROL_ROLE, EXIT_FAILED, Process, serve_http
+from fordtrestle.roles.process import main as run_role
+from fordtrestle.settings.boot import Boot
+from fordtrestle.storage.log import RecordLog, StorageError
+
+STORE_ID_BYTES = 8
+SILENCE_CHECK_S = 0.3
+DISK_RETRY_S = 0.5
+
+
+async def _open_store(boot: Boot, log: RecordLog) -> tuple[Durable, bool]:
+    """What the disk holds, or a new store; and whether it is new. Waits for a disk that refuses."""
+    while True:
+        try:
+            records = await asyncio.to_thread(log.open)
+            durable = Durable.restore(map(decode, records))
+            if durable:
+                return durable, False
+            durable = Durable(secrets.token_hex(STORE_ID_BYTES))
+            await asyncio.to_thread(log.append, [encode(record) for record in durable.image()])
+            return durable, True
+        except StorageError as error:
+            eliot.log_message("control:disk-refuses", reason=repr(error.__cause__))
+            await asyncio.sleep(DISK_RETRY_S)
+
+
+class Control:
+    """The parts of one control process."""
+
+    def __init__(self, boot: Boot, log: RecordLog, durable: Durable) -> None:
+        self.process = Process(boot, CONTROL_ROLE)
+        me = Store(durable.store, self.process.gossip.me.peer, str(boot.listen["control"]), boot.zone)
+        self.node = Node(
+            me,
+            durable,
+            machines=boot.tolerance.machines,
+            counts=boot.counts_for_quorum,
+            draw=self.process.rng.random,
+            now=asyncio.get_running_loop().time(),
+        )
+        self.replicator = Replicator(self.node, log, self.process.mesh, self._changed)
+        self.heartbeats = Heartbeats(boot.node_name, boot.heartbeat_s)
+        self._published = -1
+        self._epoch = -1
+        self.process.on_message = self.replicator.received
+
+    def _changed(self) -> None:
+        """Spread what is committed; note who is primary."""
+        state = self.node.committed_state
+        if state and state.sequence > self._published and self.node.is_ready:
+            self._published = state.sequence
+            view = ControlView(state.sequence, state.generation, state.document, state.evacuated)
+            self.process.gossip.publish([control_item(view)])
+        epoch = self.node.epoch
+        if epoch and epoch.ballot.number != self._epoch:
+            self._epoch = epoch.ballot.number
+            eliot.log_message(
+                "control:epoch",
+                number=epoch.ballot.number,
+                primary=epoch.primary,
+                replicas=list(epoch.replicas),
+                witnesses=list(epoch.witness_ids),
+            )
+
+    async def watch_servers(self) -> None:
+        """Tell of servers whose heartbeats have stopped, until cancelled."""
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            now = asyncio.get_running_loop().time()
+            items = self.heartbeats.fallen_silent(self.process.gossip.catalog, now)
+            if items:
+                eliot.log_message("control:servers-silent", keys=[item.key for item in items])
+                self.process.gossip.publish(items)
+
+
+async def run(boot: Boot) -> int:
+    """Serve until SIGTERM; the exit code."""
+    if boot.data_dir is None:
+        eliot.log_message("control:no-disk", reason="data_dir is not set")
+        return EXIT_FAILED
+    log = RecordLog(boot.data_dir)
+    try:
+        durable, is_new = await _open_store(boot, log)
+    except CodecError as error:
+        eliot.log_message("control:disk-unreadable", reason=str(error))
+        return EXIT_FAILED
+    control = Control(boot, log, durable)
+    process = control.process
+    founder = bool(boot.seeds) and boot.listen["control"] == boot.seeds[0]
+    if is_new and boot.bootstrap and founder:
+        control.node.found(asyncio.get_running_loop().time())
+    await process.start()
+    process.announce(Availability.READY)
+    api = ControlApi(
+        Orders(control.replicator),
+        control.heartbeats,
+        process.gossip,
+        frozenset(boot.zones),
+        lambda: control.node.primary,
+    )
+    runners = [await serve_http(api.application(), boot.listen["control"])]
+    if "directory" in boot.listen:
+        directory = Directory(process.gossip.catalog, process.in_touch, boot.bounds.ttl_most_s, process.rng)
+        runners.append(await serve_http(directory.application(), boot.listen["directory"]))
+    async with asyncio.TaskGroup() as tasks:
+        background = [
+            tasks.create_task(control.replicator.run()),
+            tasks.create_task(process.keep_dialling()),
+            tasks.create_task(process.gossip.run(process.rng)),
+            tasks.create_task(control.watch_servers()),
+        ]
+        await process.stopping.wait()
+        for task in background:
+            task.cancel()
+    for runner in runners:
+        await runner.cleanup()
+    await process.mesh.close()
+    log.close()
+    return 0
+
+
+def main() -> int:
+    """Run as a process of its own; the exit code."""
+    return run_role(run)
--- /dev/null
+++ b/fordtrestle/roles/sidecar.py
@@ -0,0 +1,94 @@
+"""The `sidecar` role: ingress, admission and forwarding on machines that clients reach."""
+
+from __future__ import annotations
+
+import asyncio
+
+import eliot
+
+from fordtrestle.admission.budgets import ColdBudget, RetryBudget
+from fordtrestle.admission.window import Admission
+from fordtrestle.dissemination.items import Availability, Item
+from fordtrestle.forward.client import Forwarder
+from fordtrestle.ingress.exchange import Decisions
+from fordtrestle.ingress.server import Front, Readiness
+from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http
+from fordtrestle.roles.process import main as run_role
+from fordtrestle.routing.view import View
+from fordtrestle.settings.boot import Boot
+
+LEAVE_S = 2.5  # for clients to learn from the directory that this sidecar leaves
+GRACE_MARGIN_S = 1.0  # of the platform's grace, to end in
+DRAINED_S = 0.05
+FORGET_S = 10.0
+
+
+async def run(boot: Boot) -> int:
+    """Serve until SIGTERM; the exit code."""
+    process = Process(boot, SIDECAR_ROLE)
+    view = View(boot.zones)
+    bounds = boot.bounds
+    decisions = Decisions(
+        view=view,
+        admission=Admission(process.rng.random),
+        retries=RetryBudget(bounds.retry_budget_ratio, bounds.retry_allowance, bounds.budget_window_s),
+        cold=ColdBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name),
+        forwarder=Forwarder(),
+        rng=process.rng,
+        zone=boot.zone,
+        region=boot.region,
+    )
+    front = Front(decisions)
+    loop = asyncio.get_running_loop()
+
+    def changed(items: list[Item]) -> None:
+        view.apply(items, loop.time())
+        if view.table and process.gossip.me.availability is Availability.STARTING:
+            eliot.log_message("sidecar:ready", generation=view.generation)
+            process.announce(Availability.READY)
+
+    process.on_items = changed
+    await process.start()
+    await front.listen(boot.listen["front"])
+    readiness = Readiness(lambda: process.gossip.me.availability is Availability.READY)
+    runner = await serve_http(readiness.application(), boot.listen["readiness"])
+    async with asyncio.TaskGroup() as tasks:
+        background = [
+            tasks.create_task(process.keep_dialling()),
+            tasks.create_task(process.gossip.run(process.rng)),
+            tasks.create_task(_forget(view)),
+        ]
+        await process.stopping.wait()
+        await _leave(process, front, bounds.grace_s)
+        for task in background:
+            task.cancel()
+    await front.close()
+    await runner.cleanup()
+    await decisions.forwarder.close()
+    await process.mesh.close()
+    return 0
+
+
+async def _forget(view: View) -> None:
+    while True:
+        await asyncio.sleep(FORGET_S)
+        view.servers.forget(asyncio.get_running_loop().time())
+
+
+async def _leave(process: Process, front: Front, grace_s: float) -> None:
+    """Let clients go elsewhere, then finish what is open, within the platform's grace."""
+    loop = asyncio.get_running_loop()
+    last = loop.time() + max(0.0, grace_s - GRACE_MARGIN_S)
+    eliot.log_message("sidecar:leaving", open_requests=front.open_requests)
+    front.leaving = True
+    process.announce(Availability.LEAVING)
+    await asyncio.sleep(min(LEAVE_S, grace_s / 2))
+    front.stop_listening()
+    while front.open_requests and loop.time() < last:
+        await asyncio.sleep(DRAINED_S)
+    eliot.log_message("sidecar:left", open_requests=front.open_requests)
+
+
+def main() -> int:
+    """Run as a process of its own; the exit code."""
+    return run_role(run)
--- /dev/null
+++ b/fordtrestle/routing/servers.py
@@ -0,0 +1,113 @@
+"""The servers of all services as one sidecar sees them, and which of them it may send to now. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from fordtrestle.dissemination.items import Phase, ServerRecord, Version
+
+MS_PER_S = 1000.0
+REST_S = 0.25  # after a connection to a server failed; doubles with each further one
+REST_DOUBLINGS = 4
+FORGET_S = 30.0  # a server that is gone and holds nothing of ours
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One incarnation of a server: what was told of it, and what this sidecar has seen."""
+
+    record: ServerRecord
+    region: str
+    told_at: float
+    version: Version
+    in_flight: int = 0  # this sidecar's own requests
+    tokens: int = 0  # that those hold of its memory
+    cold_until: float = 0.0
+    rest_until: float = 0.0
+    failures: int = 0  # connections that did not come up, in a row
+
+    @property
+    def instance(self) -> str:
+        return self.record.instance
+
+    def take(self, record: ServerRecord, version: Version, now: float) -> None:
+        """Follow a newer record."""
+        if self.record.silent and not record.silent:
+            self.rest_until, self.failures = now, 0
+        self.record, self.version, self.told_at = record, version, now
+        self.cold_until = max(self.cold_until, now + record.cold_ms / MS_PER_S)
+
+    def failed(self, now: float) -> None:
+        """No connection came up, or one broke: absence, which says nothing of load."""
+        self.rest_until = now + REST_S * 2 ** min(self.failures, REST_DOUBLINGS)
+        self.failures += 1
+
+    def answered(self) -> None:
+        """It has answered something."""
+        self.failures = 0
+
+    def is_usable(self, now: float) -> bool:
+        """Whether it may take a request now, as far as it is itself concerned."""
+        record = self.record
+        return record.phase is Phase.SERVING and not record.silent and now >= self.rest_until
+
+    def is_cold(self, now: float) -> bool:
+        """Whether its cold rate binds."""
+        return now < self.cold_until
+
+
+class Servers:
+    """All servers by service."""
+
+    def __init__(self, zones: dict[str, str]) -> None:
+        self._regions = zones
+        self._servers: dict[str, Server] = {}
+        self._by_service: dict[str, dict[str, Server]] = {}
+
+    def take(self, record: ServerRecord, version: Version, now: float) -> None:
+        """Follow what the catalog tells of one server."""
+        server = self._servers.get(record.instance)
+        if server is None:
+            server = Server(record, self._regions.get(record.zone, record.zone), now, version)
+            self._servers[record.instance] = server
+        elif server.version >= version:
+            return
+        if server.record.service != record.service:
+            self._by_service.get(server.record.service, {}).pop(record.instance, None)
+        server.take(record, version, now)
+        self._by_service.setdefault(record.service, {})[record.instance] = server
+
+    def forget(self, now: float) -> None:
+        """Drop servers that are gone for good."""
+        for instance, server in list(self._servers.items()):
+            gone = server.record.phase is Phase.GONE and now - server.told_at > FORGET_S
+            if gone and server.in_flight == 0:
+                del self._servers[instance]
+                self._by_service[server.record.service].pop(instance, None)
+
+    def of(self, service: str) -> Collection[Server]:
+        """All servers of a service that are known."""
+        return self._by_service.get(service, {}).values()
+
+    def usable(
+        self, service: str, evacuated: Collection[str], homes: Collection[str], now: float
+    ) -> list[Server]:
+        """The servers that a request of this service may go to."""
+        return [
+            server
+            for server in self.of(service)
+            if server.is_usable(now)
+            and server.record.zone not in evacuated
+            and (not homes or server.region in homes)
+        ]
+
+
+def nearest(servers: Iterable[Server], zone: str, region: str) -> tuple[list[Server], list[Server]]:
+    """The servers of one's own region, those of one's zone first, and all others."""
+    near: list[Server] = []
+    far: list[Server] = []
+    for server in servers:
+        (near if server.region == region else far).append(server)
+    near.sort(key=lambda server: server.record.zone != zone)
+    return near, far
--- /dev/null
+++ b/fordtrestle/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings that a process is started with, read and checked."""
--- /dev/null
+++ b/fordtrestle/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The one append-only file of a control process."""
--- /dev/null
+++ b/fordtrestle/storage/log.py
@@ -0,0 +1,117 @@
+"""One append-only file of checksummed records, rewritten when it gets long.
+
+Calls block on the disk: they belong into a thread. What `append` and `rewrite` return from has been synced.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterable
+from pathlib import Path
+
+from fordtrestle.storage.records import frame, scan
+
+NAME = "control.log"
+NEW_NAME = "control.log.new"
+READ_BYTES = 1 << 20
+
+
+class StorageError(Exception):
+    """The disk did not take or give what was asked; the cause is chained."""
+
+
+class RecordLog:
+    """The file of one store. One thread at a time."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._file = -1
+        self._folder_synced = True
+        self.size = 0
+
+    def open(self) -> list[bytes]:
+        """Read all whole records and cut off a torn tail. `StorageError` if the disk refuses."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            (self._folder / NEW_NAME).unlink(missing_ok=True)
+            self._file = os.open(self._folder / NAME, os.O_RDWR | os.O_CREAT, 0o644)
+            data = self._read_all()
+            records = list(scan(data))
+            self.size = records[-1][1] if records else 0
+            os.ftruncate(self._file, self.size)
+            # What a killed process wrote is read here, yet may not have been synced: nothing may rest on it
+            # before. os.fsync(self._file)
+            self._sync_folder()
+        except OSError as error:
+            raise StorageError(f"cannot open {self._folder / NAME}") from error
+        return [payload for payload, _ in records]
+
+    def append(self, payloads: Iterable[bytes]) -> None:
+        """Write records behind the last one and sync. `StorageError` leaves the file as it was."""
+        data = b"".join(map(frame, payloads))
+        try:
+            if not self._folder_synced:
+                self._sync_folder()
+            self._write_all(data, self.size)
+            os.fdatasync(self._file)
+        except OSError as error:
+            self._cut_back()
+            raise StorageError("cannot append") from error
+        self.size += len(data)
+
+    def rewrite(self, payloads: Iterable[bytes]) -> None:
+        """Put these records in the place of all others, at once. `StorageError` leaves the old file in
+        force.
+        """
+        data = b"".join(map(frame, payloads))
+        new = -1
+        try:
+            new = os.open(self._folder / NEW_NAME, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+            old, self._file = self._file, new
+            try:
+                self._write_all(data, 0)
+                os.fsync(new)
+                os.rename(self._folder / NEW_NAME, self._folder / NAME)
+            except OSError:
+                self._file = old
+                os.close(new)
+                raise
+            os.close(old)
+            self.size = len(data)
+            self._folder_synced = False  # until it is, a loss of power may bring the old file back
+            self._sync_folder()
+        except OSError as error:
+            raise StorageError("cannot rewrite") from error
+
+    def close(self) -> None:
+        """Give the descriptor back."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+    def _read_all(self) -> bytes:
+        data = bytearray()
+        while part := os.pread(self._file, READ_BYTES, len(data)):
+            data += part
+        return bytes(data)
+
+    def _write_all(self, data: bytes, at: int) -> None:
+        view = memoryview(data)
+        while view:
+            written = os.pwrite(self._file, view, at)
+            view = view[written:]
+            at += written
+
+    def _cut_back(self) -> None:
+        try:
+            os.ftruncate(self._file, self.size)
+        except OSError:
+            return  # the next append writes over the same place
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+            self._folder_synced = True
+        finally:
+            os.close(folder)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -48,14 +48,34 @@
 
 # Packages may import from those to their right, never from those to their left.
 ORDER = (
-    *("__main__", "cli", "daemon", "config", "upgrade", "rpc", "http", "dns", "load"),
-    *("membership", "state", "engine", "routing", "fleet", "cluster"),
+    *("__main__", "cli", "roles", "ingress", "forward", "control_api", "peer", "storage", "settings"),
+    *("daemon", "config", "upgrade", "rpc", "http", "dns", "load"),
+    *("membership", "state", "engine", "routing", "admission", "replication", "dissemination"),
+    *("fleet", "cluster"),
 )
 APART = {"http", "dns", "rpc"}  # fronts and upstreams of one protocol know nothing of another's
 
 # Each module of the program, and whether it is pure: no asyncio, socket, thread, file, wall clock or
 # unseeded random; time and randomness are handed in.
 PURE = {
+    "admission/budgets.py",
+    "admission/window.py",
+    "dissemination/catalog.py",
+    "dissemination/items.py",
+    "dissemination/messages.py",
+    "dissemination/rendezvous.py",
+    "forward/headers.py",
+    "replication/durable.py",
+    "replication/epochs.py",
+    "replication/messages.py",
+    "replication/node.py",
+    "replication/opening.py",
+    "replication/state.py",
+    "routing/pick.py",
+    "routing/servers.py",
+    "routing/table.py",
+    "routing/view.py",
+    "storage/records.py",
     "cluster/clocks.py",
     "cluster/content.py",
     "cluster/difference.py",
@@ -111,6 +131,28 @@
     "state/recovery.py",
 }
 IMPURE = {
+    "cli/control.py",
+    "cli/sidecar.py",
+    "control_api/configuration.py",
+    "control_api/heartbeats.py",
+    "control_api/http.py",
+    "control_api/orders.py",
+    "forward/client.py",
+    "ingress/answers.py",
+    "ingress/directory.py",
+    "ingress/exchange.py",
+    "ingress/relay.py",
+    "ingress/server.py",
+    "peer/codec.py",
+    "peer/connection.py",
+    "peer/gossip.py",
+    "peer/mesh.py",
+    "peer/replicator.py",
+    "roles/control.py",
+    "roles/process.py",
+    "roles/sidecar.py",
+    "settings/boot.py",
+    "storage/log.py",
     "__main__.py",
     "cli/check.py",
     "cli/load.py",
