Answer requests on kept connections until a leaving sidecar ends

Ruled out: the listener's backlog, answers cut at the exit.

Change: resting connections stay served until the process ends; it ends once nothing is open and no request came for 0.5 s, after the three lives of a directory's answer that some clients keep it for; answers of the directory live 1 s instead of 2. Closed links are waited for at the exit, which logged a traceback.

--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -11,7 +11,7 @@
 from fordtrestle.dissemination.items import Availability, MemberRecord
 
 ADDRESSES_MOST = 64
-TTL_S = 2.0
+TTL_S = 1.0
 
 
 def choose_fronts(
--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -52,6 +52,7 @@
         self._listener: asyncio.Server | None = None
         self.leaving = False
         self.open_requests = 0
+        self.last_request_at = 0.0  # s, loop clock
 
     async def listen(self, address: Address) -> None:
         """Take connections. Raises `OSError`."""
@@ -65,10 +66,13 @@
         return int(self._listener.sockets[0].getsockname()[1])
 
     def stop_listening(self) -> None:
-        """Take no more connections, and close those that rest as soon as they do."""
+        """Take no more connections.
+
+        Those that rest stay open until `close`: aiohttp's `pre_shutdown` would end the task that reads them
+        and leave them open, so that what a client still sends there would be read and never answered.
+        """
         if self._listener:
             self._listener.close()
-        self._server.pre_shutdown()
 
     async def close(self) -> None:
         """End all connections."""
@@ -76,6 +80,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.open_requests += 1
+        self.last_request_at = asyncio.get_running_loop().time()
         try:
             response = await self._serve(request)
         finally:
--- a/fordtrestle/peer/mesh.py
+++ b/fordtrestle/peer/mesh.py
@@ -13,6 +13,7 @@
 DIAL_S = 0.8
 REDIAL_S = 0.3
 HELLO_S = 2.0
+CLOSE_S = 0.5  # for accepted connections to notice that they were closed
 LINKS_MOST = 2048  # connections that others have opened
 _FAILED = (OSError, EOFError, TimeoutError, asyncio.IncompleteReadError, CodecError)
 
@@ -47,7 +48,7 @@
         self._links: dict[str, list[Link]] = {}  # by node, the newest last
         self._dials: dict[str, asyncio.Task[None]] = {}  # by address
         self._server: asyncio.Server | None = None
-        self._accepted = 0
+        self._accepted: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> None:
         """Take connections at this address. Raises `OSError`."""
@@ -88,13 +89,16 @@
             self._server.close()
         for link in [link for links in self._links.values() for link in links]:
             link.close()
+        if self._accepted:
+            await asyncio.wait(self._accepted, timeout=CLOSE_S)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader, writer)
-        if self._accepted >= LINKS_MOST:
+        task = asyncio.current_task()
+        if len(self._accepted) >= LINKS_MOST or task is None:
             connection.close()
             return
-        self._accepted += 1
+        self._accepted.add(task)
         try:
             async with asyncio.timeout(HELLO_S):
                 hello = await connection.receive()
@@ -103,7 +107,7 @@
         except _FAILED:
             connection.close()
         finally:
-            self._accepted -= 1
+            self._accepted.discard(task)
 
     async def _keep_dialled(self, address: str) -> None:
         where = Address.parse(address)
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -10,6 +10,7 @@
 from fordtrestle.admission.window import Admission
 from fordtrestle.dissemination.items import Availability, Item
 from fordtrestle.forward.client import Forwarder
+from fordtrestle.ingress.directory import TTL_S
 from fordtrestle.ingress.exchange import Decisions
 from fordtrestle.ingress.server import Front, Readiness
 from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http
@@ -17,7 +18,8 @@
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
 
-LEAVE_S = 2.5  # for clients to learn from the directory that this sidecar leaves
+LEAVE_TTLS = 3.0  # lives of a directory's answer that some clients keep it for
+QUIET_S = 0.5  # without a request, before the connections that rest are closed
 GRACE_MARGIN_S = 1.0  # of the platform's grace, to end in
 DRAINED_S = 0.05
 FORGET_S = 10.0
@@ -82,9 +84,11 @@
     eliot.log_message("sidecar:leaving", open_requests=front.open_requests)
     front.leaving = True
     process.announce(Availability.LEAVING)
-    await asyncio.sleep(min(LEAVE_S, grace_s / 2))
+    await asyncio.sleep(min(LEAVE_TTLS * TTL_S, grace_s / 2))
     front.stop_listening()
-    while front.open_requests and loop.time() < last:
+    while loop.time() < last:
+        if not front.open_requests and loop.time() - front.last_request_at > QUIET_S:
+            break
         await asyncio.sleep(DRAINED_S)
     eliot.log_message("sidecar:left", open_requests=front.open_requests)
 
