Weigh time-outs as the answers that come are slow, also where late answers earn nothing

Change: what is out past its aim weighs as much as the mean of answers is slow, or as it comes in a row (two are chance, six a crowd); where late earns nothing it counts as the attempt ends. What is turned away counts as before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -52,7 +52,8 @@
 # than usual answers take, over CROWDED; nothing else is kept, so that it ends with its cause.
 CROWDED = 2.0
 CROWDED_POWER = 3.0
-UNANSWERED = 8.0  # times the usual that what is turned away, or out past its aim, counts as
+UNANSWERED = 8.0  # times the usual that what is turned away counts as; what is out past its aim, at the most
+ROW_CHANCE, ROW_CROWD = 2.0, 6.0  # out past their aims in a row: a few are chance, many a crowd
 SLOWDOWN_GAIN = 0.1  # weight of the newest outcome
 SLOWDOWN_MS = 2000.0  # it weighs more where outcomes are few: what was is forgotten in so long
 SILENCE_MS = 500.0  # with no outcome for longer, a crowd is doubted: a refusal tells nothing
@@ -81,8 +82,7 @@
 ROOM_REGAIN_MS = 4000.0  # a server that turned away one too many is tried with one more so often
 EJECT_SHARE = 0.25  # beyond this the fault is not the servers' own, and too few are left to serve
 
-# Pace: time taken per unit of work asked. A few samples of one's own tell little, so a server
-# is held to its kind's pace and a kind to the service's until there is evidence.
+# Pace: time per unit of work. Until there is evidence, a server is held to its kind's, that to the service's.
 PACE_ANSWERS = 50.0  # a pace is that of about so many last answers
 PACE_MS = 4000.0  # or of so long, where that is more: else one heavy request turns all draws
 PACE_PRIOR = 6.0  # answers' worth of belief in the wider figure
@@ -96,9 +96,8 @@
 SUBSET_PER_OPEN = 2  # a busy sidecar widens with its own requests in flight
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # spreads sidecars' starting places evenly
 
-# A zone is doubted once two of its servers owe answers and none has answered since: a sidecar that asks
-# little would learn too late from each. A crowd looks alike, so that new connections have to tell: the zone
-# is held to be cut off once as many never came up, while another zone answers.
+# A zone is doubted once two of its servers owe answers and none has answered since. A crowd looks alike:
+# it is held to be cut off once as many new connections never came up, while another zone answers.
 CUT_OFF_SERVERS = 2
 CUT_OFF_TRIAL_MS = 500.0  # between single trials of such a zone
 CUT_OFF_PATIENCE = 4.0  # times that, where requests have no time for a trial
@@ -165,8 +164,7 @@
 
 
 class Throttle:
-    """Refuses locally with a chance that grows as the service turns work away: requests and
-    accepts of the recent past, bounded by age and by count."""
+    """Refuses with a chance that grows as the service turns work away of late: requests and accepts."""
 
     def __init__(self, age: float = WINDOW_MS, samples: int = WINDOW_SAMPLES) -> None:
         self.requests = 0
@@ -200,17 +198,15 @@
 
 
 class Shed:
-    """Refuses what is worth least per unit of work while servers turn work away.
-
-    A tenant's allowance is of the whole fleet, of which one sidecar sees a slice: so
-    its part of this sidecar's arrivals is held against its part of all allowances.
-    """
+    """Refuses what is worth least per unit of work while servers turn work away. A tenant's allowance is of
+    the whole fleet: its part of this sidecar's arrivals is held against its part of all allowances."""
 
     def __init__(self, settings: model.Settings) -> None:
         self._seen: list[float] = []
         self._seen_all = 0.0
         self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked and its worth
         self._slowdown, self._at = 1.0, 0.0  # mean of outcomes, in times the usual
+        self._answers, self._row = 1.0, 0  # mean of answers alone; how many are out past their aims since
         self.pressure = self._share = 0.0
         self._worths: object = None
         self.settle(settings)
@@ -245,12 +241,22 @@
         entry[1] += value * (work if self._by_work else 1.0)
         return over
 
-    def learn(self, now: float, times: float) -> None:
+    def learn(self, now: float, times: float, answered: bool = False) -> None:
         """Take in an outcome, in times the usual: a few that are lost, or hang, speak by their share only."""
+        if answered:
+            self._answers += SLOWDOWN_GAIN * (min(UNANSWERED, times) - self._answers)
+            self._row = 0
         gain = max(SLOWDOWN_GAIN, 1.0 - math.exp((self._at - now) / SLOWDOWN_MS))
         self._slowdown += gain * (min(UNANSWERED, times) - self._slowdown)
         self._at = now
 
+    def unanswered(self, now: float) -> None:
+        """Take in what is out past its aim: it weighs as the answers that come are slow, or as none come."""
+        self._row += 1
+        row = (self._row - ROW_CHANCE) / (ROW_CROWD - ROW_CHANCE)
+        crowd = min(1.0, max((self._answers - 1.0) / (CROWDED - 1.0), row))
+        self.learn(now, 1.0 + (UNANSWERED - 1.0) * crowd)
+
     def slowdown(self, now: float) -> float:
         """How many times longer than usual answers take."""
         doubt = math.exp(min(0.0, (self._at + SILENCE_MS - now) / SLOWDOWN_MS))
@@ -261,13 +267,9 @@
         return max(0.0, 1.0 - math.pow(CROWDED / self.slowdown(now), CROWDED_POWER))
 
     def chance(self, now: float, drop: float, traffic_class: int, over: bool) -> float:
-        """The chance of refusing this kind of request, so that `drop` of the work goes, or
-        what the level or this sidecar's own pressure asks, if more.
-
-        What is past a tenant's share goes first. The rest is taken evenly from the kinds of
-        least worth per work; from how many is weighed by the goal, which counts the worst
-        class by itself beside the worth lost in all.
-        """
+        """The chance of refusing this kind of request, so that `drop` of the work goes, or what the level or
+        this sidecar's own pressure asks, if more. What is past a tenant's share goes first, then the kinds of
+        least worth per work, evenly; from how many is weighed by the goal, which counts the worst class."""
         self._share = share = max(drop, self.level(now) - SHED_IDLE, self.pressure)
         if share <= 0.0:
             return 0.0
@@ -970,12 +972,9 @@
     ) -> bool:
         """Whether a request may go to a server, if that is cold, drawn from the first `reach` of a ring.
 
-        The odds of a draw hold only while others are there to be drawn. Guards against a mass restart,
-        drains or ejections that leave few others: the less is fit of what there was lately, the fewer
-        requests may go to cold servers. Sidecars act alike, and keep nothing for later: what hundreds
-        send adds up to the same. A request has one coin for all servers and repeats, since more coins
-        would send more. It costs refusals where a fleet is scaled down on purpose.
-        """
+        Guards against a mass restart, drains or ejections that leave few others to be drawn: the less is fit
+        of what there was lately, the fewer may go. Sidecars act alike, so that what hundreds send adds up to
+        the same. A request has one coin for all servers and repeats, since more coins would send more."""
         if self._warmth(now, server) >= 1.0 or self._away:  # the trials of an outage have their own bound
             return True
         asked = now, request.id, len(ring), reach
@@ -1031,8 +1030,10 @@
             return  # nobody there was asked: no crowd, and no fault of this one
         late = spent > aim
         if status in (OK, FULL, TIMEOUT):
-            if status != TIMEOUT or spent < aim:  # one out past its aim has counted then
-                self._shed.learn(now, times if status == OK else UNANSWERED)
+            if status != TIMEOUT:
+                self._shed.learn(now, times if status == OK else UNANSWERED, status == OK)
+            elif spent < aim or request.profile.late_worth <= 0.0:  # where late pays, it counted at its aim
+                self._shed.unanswered(now)
             self._learn_pace(now, server, max(spent, 0.0 if status == OK else aim), request.work)
         if self._zoned:
             missed = float(status != OK or late)
@@ -1122,8 +1123,7 @@
             server.seen_at = now
 
     def _overdue(self, now: float, token: str) -> None:
-        """An attempt still out at its aim strains the service then, not at its end: where it
-        may go on, a service that has stalled would be noticed only as clients give up."""
+        """An attempt still out at its aim tells of the service then, not only as its client gives up."""
         name, _, hop = token[len(DUE) :].partition(":")
         request = self._requests.get(int(name))
         if request is None or not (attempt := request.attempts[int(hop)]).out:
@@ -1133,7 +1133,7 @@
         stood_still = now - attempt.sent - aim > STOOD_STILL_MS  # this sidecar itself: it tells nothing
         if usual or stood_still or self._is_cut_off(now, attempt.server):
             return
-        self._shed.learn(now, UNANSWERED)
+        self._shed.unanswered(now)
         if self._shed.slowdown(now) < SLOW:
             self._blame(now, attempt.server, True, attempt.sent)
 
