--- a/fordtrestle/config/operator.py
+++ b/fordtrestle/config/operator.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from fordtrestle.config.cluster import ClusterSpec, read_cluster
 from fordtrestle.config.events import EventsSpec, read_events
 from fordtrestle.config.fronts import FrontSpec, read_fronts
 from fordtrestle.config.limits import LimitsOptions
@@ -54,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """All that an operator file says. `state`, `events`, `peers` and `cluster` are off where None."""
+    """All that an operator file says. `state`, `events` and `peers` are off where None."""
 
     services: Mapping[str, ServiceSpec]
     fronts: Mapping[str, FrontSpec]
@@ -64,7 +63,6 @@
     state: StateSpec | None = None
     events: EventsSpec | None = None
     peers: PeersSpec | None = None
-    cluster: ClusterSpec | None = None
 
 
 def read(file: str) -> Operator:
@@ -80,7 +78,6 @@
         state=_optional(root, "state", read_state),
         events=_optional(root, "events", read_events),
         peers=_optional(root, "peers", read_peers),
-        cluster=_optional(root, "cluster", read_cluster),
     )
     root.end()
     _check(config, faults)
@@ -184,8 +181,6 @@
     if config.peers is not None and len(config.services) > 1:
         faults.add("peers", f"one service may speak to its peers, and there are {len(config.services)}")
     _check_shares(config, faults)
-    if config.cluster is not None:
-        _check_cluster(config, faults)
 
 
 def _check_shares(config: Operator, faults: Faults) -> None:
@@ -200,14 +195,6 @@
         faults.add("front", "guaranteed_share leaves nothing for the fronts that have none")
 
 
-def _check_cluster(config: Operator, faults: Faults) -> None:
-    """Guards against a member whose vote or name another life or process could have as well."""
-    if config.state is None:
-        faults.add("cluster", "[state] is needed, to keep what this process has promised")
-    if not config.process.name and not any(fault.at == "process.name" for fault in faults.found):
-        faults.add("cluster", "process.name is needed, to tell this process from the other members")
-
-
 def _check_localities(name: str, service: ServiceSpec, source: StaticSpec, faults: Faults) -> None:
     """Guards against a server that would silently count as one of the first zone or kind."""
     for i, server in enumerate(source.servers):
--- a/fordtrestle/daemon/standalone.py
+++ b/fordtrestle/daemon/standalone.py
@@ -176,10 +176,6 @@
         for line in error.lines:
             log(line)
         return 2
-    if config.cluster is not None:
-        # Guards against an operator who takes the claim for kept: nothing agrees on rules yet.
-        log(f"{file}: cluster: this release checks the table and does not act on it; take it out to serve")
-        return 2
     try:
         asyncio.run(run(lambda loop: Standalone(loop, file, config, seams), signals, Standalone.ending))
     except OSError as error:
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -10,21 +10,25 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from fordtrestle.admission.budgets import ColdBudget, RetryBudget
+from fordtrestle.admission.budgets import RetryBudget
 from fordtrestle.admission.window import Admission
 from fordtrestle.forward import client
 from fordtrestle.forward.client import Forwarder, Outbound
 from fordtrestle.forward.headers import DEADLINE, LAST_EVENT_ID, for_server
 from fordtrestle.ingress import answers
 from fordtrestle.ingress.relay import OK, End, StreamRelay, is_short, relay_whole
-from fordtrestle.routing.pick import Prompt, pick
-from fordtrestle.routing.servers import Server, nearest
+from fordtrestle.ingress.waiting import Waiting, longest
+from fordtrestle.routing.pick import Prompt
+from fordtrestle.routing.selection import Selection
+from fordtrestle.routing.servers import Server
 from fordtrestle.routing.table import Route
 from fordtrestle.routing.view import View
 
 FULL_STATUSES = (429, 503)
 MISDIRECTED = 421
+SENDS_MOST = 4  # of one request, those that servers rejected included
 UNREACHABLE_MOST = 4  # servers that a request may find unreachable before it is refused
+NO_CONFIGURATION_S = 5.0  # that a request is taken to have where its route is not known
 MS_PER_S = 1000.0
 
 
@@ -54,11 +58,10 @@
     view: View
     admission: Admission
     retries: RetryBudget
-    cold: ColdBudget
+    selection: Selection
+    waiting: Waiting
     forwarder: Forwarder
     rng: random.Random
-    zone: str
-    region: str
 
 
 @dataclass(slots=True)
@@ -68,6 +71,7 @@
     tried: set[str] = field(default_factory=set)
     held: list[Server] = field(default_factory=list)  # servers that are at work on it
     sends: int = 0  # that reached a server
+    runs: int = 0  # sends that a server may have begun to work on
     unreachable: int = 0
     admitted: bool = False
     may_have_run: bool = False
@@ -93,34 +97,43 @@
             self._release()
 
     async def _try_once(self) -> web.StreamResponse | None:
-        """One send, by what is in force at this moment; nothing where another one may follow."""
-        shared, inbound = self._shared, self._inbound
+        """One send, by what is in force at this moment; nothing where another look is worth it."""
+        shared, inbound, progress = self._shared, self._inbound, self._progress
         now = asyncio.get_running_loop().time()
         table = shared.view.table
         if table is None:
-            return answers.refused(inbound.request_id, 1.0, shared.rng, "no configuration yet")
+            return await self._wait(NO_CONFIGURATION_S, "no configuration yet")
         route = table.match(inbound.host, inbound.path)
         if route is None:
             return self._give_up(answers.unknown_route(inbound.request_id))
-        deadline = inbound.arrived + min(route.timeout_s, self._deadline_s(route))
+        deadline = inbound.arrived + self._has_s(route.timeout_s)
         if now >= deadline:
-            return self._expire()
+            return answers.overdue(inbound.request_id)
         callee = route.backend(shared.rng.random)
         if not self._admit(callee, now):
-            return self._refuse(route, "too many requests are turned away")
-        server = self._choose(route, callee, now)
+            return self._refuse(route.target_s, "too many requests are turned away")
+        server = shared.selection.choose(route, callee, inbound.prompt, progress.tried, now)
         if server is None:
-            return self._refuse(route, "no server may take it")
-        if self._progress.sends and not shared.retries.allows(callee, len(shared.view.sidecars), now):
-            return self._refuse(route, "the budget of second sends is used up")
+            return await self._wait(route.timeout_s, "no server may take it", route.target_s)
+        if progress.sends and not shared.retries.allows(callee, len(shared.view.sidecars), now):
+            return self._refuse(route.target_s, "the budget of second sends is used up")
         return await self._send(route, callee, server, deadline)
 
-    def _deadline_s(self, route: Route) -> float:
+    def _has_s(self, at_most: float) -> float:
+        """The time that the request has in all."""
         given = self._inbound.headers.get(DEADLINE, "")
         try:
-            return float(given) / MS_PER_S
+            return min(at_most, float(given) / MS_PER_S)
         except ValueError:
-            return route.timeout_s
+            return at_most
+
+    async def _wait(self, timeout_s: float, reason: str, target_s: float = 1.0) -> web.StreamResponse | None:
+        """Nothing once it is worth looking again, or the refusal where the time to wait is over."""
+        waited = asyncio.get_running_loop().time() - self._inbound.arrived
+        over = waited >= longest(self._has_s(timeout_s))
+        if over or self._progress.sends or not await self._shared.waiting.wait():
+            return self._refuse(target_s, reason)
+        return None
 
     def _admit(self, callee: str, now: float) -> bool:
         """The window's word, asked once a request and before any send."""
@@ -130,28 +143,10 @@
             progress.admitted = shared.admission.admits(callee, now)
         return progress.admitted
 
-    def _choose(self, route: Route, callee: str, now: float) -> Server | None:
-        shared, tried = self._shared, self._progress.tried
-        view = shared.view
-        usable = view.servers.usable(callee, view.evacuated, route.home_regions, now)
-        near, far = nearest(usable, shared.zone, shared.region)
-        for among in (near, far):
-            warm = [server for server in among if not server.is_cold(now)]
-            server = pick(warm, self._inbound.prompt, tried, shared.rng.random)
-            if server:
-                return server
-        rate = view.table.services[callee].cold_rate_s if view.table else 0.0
-        for server in sorted(near, key=lambda server: server.in_flight) + far:
-            if server.instance in tried or not server.is_cold(now):
-                continue
-            if rate <= 0 or shared.cold.allows(server.instance, rate, view.sidecars, now):
-                return server
-        return None
-
     async def _send(
         self, route: Route, callee: str, server: Server, deadline: float
     ) -> web.StreamResponse | None:
-        outcome = await self._ask(callee, server, deadline)
+        outcome = await self._ask(callee, route.target_s, server, deadline)
         request_id = self._inbound.request_id
         match outcome:
             case client.Answered(response):
@@ -162,17 +157,17 @@
                 return self._may_go_on(route, "the servers are full")
             case client.Unreachable():
                 if self._progress.unreachable >= UNREACHABLE_MOST:
-                    return self._refuse(route, "no server can be reached")
+                    return self._refuse(route.target_s, "no server can be reached")
                 return None
             case client.Broken():
-                if route.repeatable and self._progress.sends < route.max_attempts:
+                if route.repeatable and self._progress.runs < route.max_attempts:
                     return None
                 return answers.broken(request_id)
             case client.Overdue():
                 return answers.overdue(request_id)
 
     async def _ask(
-        self, callee: str, server: Server, deadline: float, last_event_id: str = ""
+        self, callee: str, target_s: float, server: Server, deadline: float, last_event_id: str = ""
     ) -> client.Outcome:
         """Send to one server, and note what the outcome proves of it and of the service."""
         inbound, progress, shared = self._inbound, self._progress, self._shared
@@ -183,20 +178,24 @@
         outbound = Outbound(inbound.method, inbound.target, headers, inbound.body, inbound.request_id)
         self._release()
         self._hold(server)
-        progress.tried.add(server.instance)
+        sent = loop.time()
         outcome = await shared.forwarder.send(server.record.address, outbound, deadline)
         now = loop.time()
         progress.sends += not isinstance(outcome, client.Unreachable)
+        progress.runs += not isinstance(outcome, client.Unreachable | client.Rejected)
+        if not isinstance(outcome, client.Unreachable):
+            progress.tried.add(server.instance)
         match outcome:
             case client.Answered():
                 server.answered()
                 shared.admission.accepted(callee, now)
+                shared.selection.answered(callee, server, now - sent, target_s)
             case client.Rejected(status):
                 server.answered()
                 if status in FULL_STATUSES:
                     shared.admission.rejected(callee, now)
                 elif status == MISDIRECTED:
-                    server.failed(now)  # another incarnation is at its address
+                    server.misdirected = True  # another incarnation is at its address
             case client.Unreachable():
                 server.failed(now)
                 progress.unreachable += 1
@@ -231,13 +230,13 @@
         while progress.unreachable < UNREACHABLE_MOST and loop.time() < deadline:
             table = shared.view.table
             route = table.match(self._inbound.host, self._inbound.path) if table else None
-            if route is None or not route.resumable or progress.sends >= route.max_attempts:
+            if route is None or not route.resumable or progress.runs >= route.max_attempts:
                 return None
             callee = route.backend(shared.rng.random)
-            server = self._choose(route, callee, loop.time())
+            server = shared.selection.choose(route, callee, self._inbound.prompt, progress.tried, loop.time())
             if server is None or not shared.retries.allows(callee, len(shared.view.sidecars), loop.time()):
                 return None
-            outcome = await self._ask(callee, server, deadline, last_event_id)
+            outcome = await self._ask(callee, route.target_s, server, deadline, last_event_id)
             if isinstance(outcome, client.Answered):
                 if outcome.response.status == OK:
                     return outcome.response
@@ -259,15 +258,13 @@
 
     def _may_go_on(self, route: Route, reason: str) -> web.StreamResponse | None:
         """Nothing where another server may be asked, or else the refusal."""
-        return None if self._progress.sends < route.max_attempts else self._refuse(route, reason)
-
-    def _refuse(self, route: Route, reason: str) -> web.StreamResponse:
-        return self._give_up(
-            answers.refused(self._inbound.request_id, route.target_s, self._shared.rng, reason)
-        )
+        progress = self._progress
+        if progress.runs < route.max_attempts and progress.sends < SENDS_MOST:
+            return None
+        return self._refuse(route.target_s, reason)
 
-    def _expire(self) -> web.StreamResponse:
-        return answers.overdue(self._inbound.request_id)
+    def _refuse(self, target_s: float, reason: str) -> web.StreamResponse:
+        return self._give_up(answers.refused(self._inbound.request_id, target_s, self._shared.rng, reason))
 
     def _give_up(self, promise: web.Response) -> web.StreamResponse:
         """The answer that promises that nothing has run, or another one where something may have."""
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -98,6 +98,8 @@
         self._entries = 0
         self._heard_primary = now
         self._miss(now)
+        if durable.accepted and durable.accepted.primary == me.id:
+            self._election_at = now  # nobody else is primary of that epoch
 
     # what callers ask
 
@@ -359,7 +361,9 @@
             self._send(witness, wire.Canvass(self._canvass_round))
 
     def _answer_canvass(self, sender: str, message: wire.Canvass, now: float) -> None:
-        misses = sender == self.me.id or now - self._heard_primary > ELECTION_S
+        accepted = self.durable.accepted
+        itself = accepted is not None and accepted.primary == sender  # it has started anew
+        misses = sender == self.me.id or itself or now - self._heard_primary > ELECTION_S
         if misses and not (self._primary and sender != self.me.id):
             answer = wire.CanvassAck(message.round, self.durable.promised, self.durable.accepted)
             self._send(sender, answer)
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -13,8 +13,10 @@
 from fordtrestle.ingress.directory import TTL_S
 from fordtrestle.ingress.exchange import Decisions
 from fordtrestle.ingress.server import Front, Readiness
+from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http
 from fordtrestle.roles.process import main as run_role
+from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
 
@@ -30,21 +32,22 @@
     process = Process(boot, SIDECAR_ROLE)
     view = View(boot.zones)
     bounds = boot.bounds
+    cold = ColdBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name)
     decisions = Decisions(
         view=view,
         admission=Admission(process.rng.random),
         retries=RetryBudget(bounds.retry_budget_ratio, bounds.retry_allowance, bounds.budget_window_s),
-        cold=ColdBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name),
+        selection=Selection(view, cold, boot.zone, boot.region, process.rng.random),
+        waiting=Waiting(),
         forwarder=Forwarder(),
         rng=process.rng,
-        zone=boot.zone,
-        region=boot.region,
     )
     front = Front(decisions)
     loop = asyncio.get_running_loop()
 
     def changed(items: list[Item]) -> None:
         view.apply(items, loop.time())
+        decisions.waiting.wake()
         if view.table and process.gossip.me.availability is Availability.STARTING:
             eliot.log_message("sidecar:ready", generation=view.generation)
             process.announce(Availability.READY)
--- /dev/null
+++ b/fordtrestle/routing/selection.py
@@ -0,0 +1,66 @@
+"""The server for one send: the near region first, others by what spills over, cold servers by their budget.
+Pure.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Sequence
+
+from fordtrestle.admission.budgets import ColdBudget
+from fordtrestle.admission.spill import Spill
+from fordtrestle.routing.pick import Prompt, pick
+from fordtrestle.routing.servers import Server, nearest
+from fordtrestle.routing.table import Route
+from fordtrestle.routing.view import View
+
+
+class Selection:
+    """Chooses by what a sidecar knows at the moment of the send."""
+
+    def __init__(
+        self, view: View, cold: ColdBudget, zone: str, region: str, draw: Callable[[], float]
+    ) -> None:
+        self._view = view
+        self._cold = cold
+        self._zone = zone
+        self._region = region
+        self._draw = draw
+        self._spills: dict[str, Spill] = {}
+
+    def choose(
+        self, route: Route, callee: str, prompt: Prompt, tried: Collection[str], now: float
+    ) -> Server | None:
+        """A server that may take the request now and is not among those tried; nothing where there is
+        none.
+        """
+        view = self._view
+        usable = view.servers.usable(callee, view.evacuated, route.home_regions, now)
+        near, far = nearest(usable, self._zone, self._region)
+        if near and far and self._draw() < self._spill(callee).share:
+            near, far = far, near
+        for among in (near, far):
+            warm = [server for server in among if not server.is_cold(now)]
+            server = pick(warm, prompt, tried, self._draw)
+            if server:
+                return server
+        return self._choose_cold(callee, [*near, *far], tried, now)
+
+    def answered(self, callee: str, server: Server, waited_s: float, target_s: float) -> None:
+        """Learn how long a server's answer began to come after the send."""
+        self._spill(callee).learn(server.region == self._region, waited_s / target_s)
+
+    def _choose_cold(
+        self, callee: str, servers: Sequence[Server], tried: Collection[str], now: float
+    ) -> Server | None:
+        table = self._view.table
+        service = table.services.get(callee) if table else None
+        rate = service.cold_rate_s if service else 0.0
+        for server in sorted(servers, key=lambda server: server.in_flight):
+            if server.instance in tried or not server.is_cold(now):
+                continue
+            if rate <= 0 or self._cold.allows(server.instance, rate, self._view.sidecars, now):
+                return server
+        return None
+
+    def _spill(self, callee: str) -> Spill:
+        return self._spills.setdefault(callee, Spill())
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -26,6 +26,7 @@
     cold_until: float = 0.0
     rest_until: float = 0.0
     failures: int = 0  # connections that did not come up, in a row
+    misdirected: bool = False  # another incarnation has its address, until a newer word of this one
 
     @property
     def instance(self) -> str:
@@ -35,6 +36,7 @@
         """Follow a newer record."""
         if self.record.silent and not record.silent:
             self.rest_until, self.failures = now, 0
+        self.misdirected = False
         self.record, self.version, self.told_at = record, version, now
         self.cold_until = max(self.cold_until, now + record.cold_ms / MS_PER_S)
 
@@ -50,7 +52,9 @@
     def is_usable(self, now: float) -> bool:
         """Whether it may take a request now, as far as it is itself concerned."""
         record = self.record
-        return record.phase is Phase.SERVING and not record.silent and now >= self.rest_until
+        if record.phase is not Phase.SERVING or record.silent or self.misdirected:
+            return False
+        return now >= self.rest_until
 
     def is_cold(self, now: float) -> bool:
         """Whether its cold rate binds."""
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -13,6 +13,8 @@
 from fordtrestle.forward.client import Forwarder
 from fordtrestle.ingress.exchange import Decisions
 from fordtrestle.ingress.server import Front
+from fordtrestle.ingress.waiting import Waiting
+from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Address
 
@@ -101,11 +103,12 @@
             view=self.view,
             admission=Admission(random.Random(1).random),
             retries=RetryBudget(0.2, 50.0, 10.0),
-            cold=ColdBudget(1.5, 5.0, "front-1"),
+            selection=Selection(
+                self.view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", random.Random(1).random
+            ),
+            waiting=Waiting(),
             forwarder=Forwarder(),
             rng=random.Random(1),
-            zone="z-1",
-            region="r-1",
         )
         self.front = Front(self.decisions)
 
--- a/tests/ingress/test_exchanges.py
+++ b/tests/ingress/test_exchanges.py
@@ -124,6 +124,50 @@
         assert "X-Expect-Instance: i-old" in reused.requests[0]
 
 
+@loopback
+async def test_what_was_rejected_goes_on_also_where_only_one_server_may_run_it():
+    async with (
+        StandIn(failure(421, head="")) as reused,
+        StandIn(failure(503)) as full,
+        StandIn(ok()) as free,
+        Stage(route(max_attempts=1)) as stage,
+        Client(stage.port) as client,
+    ):
+        stage.add(reused, "i-old")
+        stage.add(full, "i-full", zone="z-2")
+        stage.add(free, "i-free", service="unknown")
+        assert (await client.exchange(call())).startswith("HTTP/1.1 503")
+        assert len(reused.requests) == len(full.requests) == 1
+        stage.add(free, "i-free-2")
+        assert (await client.exchange(call())).startswith("HTTP/1.1 200")
+        assert len(reused.requests) == 1, "a newer word of that incarnation alone brings it back"
+        stage.sequence += 1
+        stage.add(reused, "i-old")
+        assert any(server.is_usable(float("inf")) for server in stage.view.servers.of("pool"))
+
+
+@loopback
+async def test_a_request_waits_for_a_server_and_for_a_configuration():
+    async with StandIn(ok()) as server, Stage() as stage, Client(stage.port) as client:
+        await client.send(call())
+        await until(lambda: stage.front.open_requests)
+        stage.configure(route())
+        stage.decisions.waiting.wake()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert stage.front.open_requests
+        stage.add(server)
+        stage.decisions.waiting.wake()
+        assert (await client.answer()).startswith("HTTP/1.1 200")
+
+
+@loopback
+async def test_the_number_of_waiting_requests_is_bounded(monkeypatch):
+    monkeypatch.setattr("fordtrestle.ingress.waiting.WAITING_MOST", 0)
+    async with Stage(route()) as stage, Client(stage.port) as client:
+        assert (await client.exchange(call())).startswith("HTTP/1.1 503")
+
+
 @loopback
 async def test_a_stream_is_passed_on_as_it_comes_and_looks_broken_where_it_was_broken(snapshot):
     head = (
