--- /dev/null
+++ b/rig/system/deployment.py
@@ -0,0 +1,123 @@
+"""Control processes and sidecars of three regions as processes of their own, on addresses of the loopback
+range.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+REGIONS = ("west", "middle", "east")
+PORTS = {"control": 8140, "directory": 8141, "front": 8142, "readiness": 8143}
+INTERNAL = (8150, 8159)
+STOP_S = 10.0
+GRACE_S = 3.0  # short, so that a demonstration ends soon
+
+
+def host_of(region: str, machine: int) -> str:
+    """A machine's address: regions differ in the third number."""
+    return f"127.77.{REGIONS.index(region) + 1}.{machine}"
+
+
+@dataclass
+class Machine:
+    """One machine with one role."""
+
+    region: str
+    role: str
+    host: str
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+    log: list[str] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        return f"{self.role}-{self.region}"
+
+    def address(self, endpoint: str) -> str:
+        """HOST:PORT of an endpoint."""
+        return f"{self.host}:{PORTS[endpoint]}"
+
+    def settings(self, bootstrap: bool) -> dict[str, object]:
+        """The settings file of its process."""
+        endpoints = ("control", "directory") if self.role == "control" else ("front", "readiness")
+        data = self.folder / "data"
+        return {
+            "node_name": self.name,
+            "role": self.role,
+            "ip": self.host,
+            "zone": f"{self.region}-1",
+            "region": self.region,
+            "zones": {f"{region}-1": region for region in REGIONS},
+            "listen": {endpoint: self.address(endpoint) for endpoint in endpoints},
+            "internal_port_range": INTERNAL,
+            "seeds": [f"{host_of(region, 1)}:{PORTS['control']}" for region in REGIONS],
+            "bootstrap": bootstrap,
+            "counts_for_quorum": self.role == "control",
+            "data_dir": str(data) if self.role == "control" else None,
+            "heartbeat_ms": 1000,
+            "fault_tolerance": {"machines": 1, "zones": 1, "regions": 1},
+            "bounds": {"grace_s": GRACE_S},
+        }
+
+    async def start(self, bootstrap: bool = False) -> None:
+        """Start the process."""
+        file = self.folder / "boot.json"
+        file.write_text(json.dumps(self.settings(bootstrap), indent=2))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fordtrestle",
+            self.role,
+            env={**os.environ, "FORDTRESTLE_CONFIG": str(file)},
+            stderr=(self.folder / "log").open("ab"),
+        )
+
+    async def kill(self) -> None:
+        """End the process without a word; its disk stays."""
+        await self._end(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """End the process as the platform does."""
+        await self._end(signal.SIGTERM)
+
+    async def _end(self, by: signal.Signals) -> None:
+        process, self.process = self.process, None
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(by)
+        try:
+            await asyncio.wait_for(process.wait(), STOP_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+
+class Deployment:
+    """A control process and a sidecar in each region."""
+
+    def __init__(self, folder: Path) -> None:
+        self.machines = []
+        for region in REGIONS:
+            for number, role in enumerate(("control", "sidecar"), start=1):
+                place = folder / f"{role}-{region}"
+                place.mkdir(parents=True)
+                self.machines.append(Machine(region, role, host_of(region, number), place))
+
+    def machine(self, role: str, region: str) -> Machine:
+        """The machine of a role in a region."""
+        return next(m for m in self.machines if (m.role, m.region) == (role, region))
+
+    async def start(self) -> None:
+        """Start all for the first time."""
+        for machine in self.machines:
+            await machine.start(bootstrap=True)
+
+    async def stop(self) -> None:
+        """End all."""
+        await asyncio.gather(*(machine.stop() for machine in self.machines))
