Hold returned zones' servers to be cold, and send none to cold ones while fellows are unknown

Change: such servers count as cold for one and a half heartbeats; for its first 2 s a sidecar sends nothing to cold servers and takes no part in the allowance of second sends. Both with tests. The layout test was red since the urgency of prompts came in (an import upwards): mended.

--- a/fordtrestle/admission/urgency.py
+++ b/fordtrestle/admission/urgency.py
@@ -10,8 +10,6 @@
 from bisect import bisect_left
 from collections import deque
 
-from fordtrestle.routing.pick import Prompt
-
 REMEMBERED = 200  # requests that a prompt is compared with
 LEVELS = 3
 FIRST = 3  # the most urgent level given, of 0 (highest) to 9; 5 is a server's own where none is said
@@ -24,11 +22,13 @@
     def __init__(self) -> None:
         self._sizes: deque[int] = deque(maxlen=REMEMBERED)
 
-    def level(self, prompt: Prompt) -> int | None:
-        """The value of `Priority` for a request; nothing while there is little to compare it with."""
-        if not prompt.parts:
+    def level(self, size: int | None) -> int | None:
+        """The value of `Priority` for a request whose own part has so many tokens.
+
+        Nothing where it has none, or while there is little to compare it with.
+        """
+        if size is None:
             return None
-        size = prompt.parts[-1][1]
         self._sizes.append(size)
         if len(self._sizes) < LEAST:
             return None
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -27,6 +27,7 @@
 
 FULL_STATUSES = (429, 503)
 MISDIRECTED = 421
+FELLOWS_UNKNOWN = 1000  # sidecars that share a budget, while it is not known how many
 SENDS_MOST = 4  # of one request, those that servers rejected included
 UNREACHABLE_MOST = 4  # servers that a request may find unreachable before it is refused
 NO_CONFIGURATION_S = 5.0  # that a request is taken to have where its route is not known
@@ -87,7 +88,7 @@
         self._shared = shared
         self._inbound = inbound
         self._request = request
-        self._progress = _Progress(level=shared.urgency.level(inbound.prompt))
+        self._progress = _Progress(level=shared.urgency.level(inbound.prompt.own))
 
     async def run(self) -> web.StreamResponse:
         """The final answer; it may have been written already."""
@@ -118,10 +119,16 @@
         server = shared.selection.choose(route, callee, inbound.prompt, progress.tried, now)
         if server is None:
             return await self._wait(route.timeout_s, "no server may take it", route.target_s)
-        if progress.sends and not shared.retries.allows(callee, len(shared.view.sidecars), now):
+        if progress.sends and not self._may_send_again(callee, now):
             return self._refuse(route.target_s, "the budget of second sends is used up")
         return await self._send(route, callee, server, deadline)
 
+    def _may_send_again(self, callee: str, now: float) -> bool:
+        """Whether this sidecar's part of the budget of second sends has room, and count it if so."""
+        view = self._shared.view
+        sidecars = len(view.sidecars) if view.knows_fellows(now) else FELLOWS_UNKNOWN
+        return self._shared.retries.allows(callee, sidecars, now)
+
     def _has_s(self, at_most: float) -> float:
         """The time that the request has in all."""
         given = self._inbound.headers.get(DEADLINE, "")
@@ -239,7 +246,7 @@
                 return None
             callee = route.backend(shared.rng.random)
             server = shared.selection.choose(route, callee, self._inbound.prompt, progress.tried, loop.time())
-            if server is None or not shared.retries.allows(callee, len(shared.view.sidecars), loop.time()):
+            if server is None or not self._may_send_again(callee, loop.time()):
                 return None
             outcome = await self._ask(callee, route.target_s, server, deadline, last_event_id)
             if isinstance(outcome, client.Answered):
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -31,7 +31,8 @@
 async def run(boot: Boot) -> int:
     """Serve until SIGTERM; the exit code."""
     process = Process(boot, SIDECAR_ROLE)
-    view = View(boot.zones)
+    loop = asyncio.get_running_loop()
+    view = View(boot.zones, boot.heartbeat_s, loop.time())
     bounds = boot.bounds
     cold = ColdBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name)
     decisions = Decisions(
@@ -45,7 +46,6 @@
         rng=process.rng,
     )
     front = Front(decisions)
-    loop = asyncio.get_running_loop()
 
     def changed(items: list[Item]) -> None:
         view.apply(items, loop.time())
--- a/fordtrestle/routing/pick.py
+++ b/fordtrestle/routing/pick.py
@@ -26,6 +26,11 @@
         """The most memory that the request takes, in tokens."""
         return self.tokens_in + self.tokens_out
 
+    @property
+    def own(self) -> int | None:
+        """The tokens of the part that no other request has, where the prompt was told."""
+        return self.parts[-1][1] if self.parts else None
+
     @property
     def shared(self) -> str:
         """The last part that other requests have, too; empty where there is none."""
--- a/fordtrestle/routing/selection.py
+++ b/fordtrestle/routing/selection.py
@@ -58,9 +58,18 @@
         for server in sorted(servers, key=lambda server: server.in_flight):
             if server.instance in tried or not server.is_cold(now):
                 continue
-            if rate <= 0 or self._cold.allows(server.instance, rate, self._view.sidecars, now):
+            if rate <= 0 or self._allows_cold(server, rate, now):
                 return server
         return None
 
+    def _allows_cold(self, server: Server, rate: float, now: float) -> bool:
+        """Whether this sidecar's part of a cold server's rate has room.
+
+        One that has just started does not know among how many the rate is shared, and sends none.
+        """
+        if not self._view.knows_fellows(now):
+            return False
+        return self._cold.allows(server.instance, rate, self._view.sidecars, now)
+
     def _spill(self, callee: str) -> Spill:
         return self._spills.setdefault(callee, Spill())
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -82,6 +82,12 @@
         server.take(record, version, now)
         self._by_service.setdefault(record.service, {})[record.instance] = server
 
+    def chill(self, zones: Collection[str], until: float) -> None:
+        """Hold the servers of these zones to be cold until then at least."""
+        for server in self._servers.values():
+            if server.record.zone in zones:
+                server.cold_until = max(server.cold_until, until)
+
     def forget(self, now: float) -> None:
         """Drop servers that are gone for good."""
         for instance, server in list(self._servers.items()):
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -13,12 +13,16 @@
 from fordtrestle.routing.table import RouteTable, parse_table
 
 SIDECAR_ROLE = "sidecar"
+ACQUAINTED_S = 2.0
+HEARTBEATS_OF_DOUBT = 1.5  # for which servers that were out of use are held to be cold
 
 
 class View:
     """The newest state that has come to this process."""
 
-    def __init__(self, zones: dict[str, str]) -> None:
+    def __init__(self, zones: dict[str, str], heartbeat_s: float, born: float) -> None:
+        self._heartbeat_s = heartbeat_s
+        self._born = born  # s, steady clock
         self.table: RouteTable | None = None
         self.generation = 0
         self.evacuated: frozenset[str] = frozenset()
@@ -30,7 +34,7 @@
         for item in items:
             match item.value:
                 case ControlView() as control:
-                    self._follow(control)
+                    self._follow(control, now)
                 case ServerRecord() as record:
                     self.servers.take(record, item.version, now)
                 case MemberRecord(role=role, node=node, availability=availability) if role == SIDECAR_ROLE:
@@ -39,8 +43,16 @@
                     else:
                         self.sidecars.add(node)
 
-    def _follow(self, control: ControlView) -> None:
+    def knows_fellows(self, now: float) -> bool:
+        """Whether this process has been there for long enough to know who shares the fleet's budgets."""
+        return now - self._born >= ACQUAINTED_S
+
+    def _follow(self, control: ControlView, now: float) -> None:
+        taken_back = self.evacuated.difference(control.evacuated)
         self.evacuated = frozenset(control.evacuated)
+        if taken_back:
+            # They may have turned cold shortly before; their next heartbeats tell.
+            self.servers.chill(taken_back, now + HEARTBEATS_OF_DOUBT * self._heartbeat_s)
         if control.document and control.generation != self.generation:
             self.table = parse_table(control.document)
             self.generation = control.generation
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -97,7 +97,7 @@
     """A front that serves, and the view that it decides by."""
 
     def __init__(self, *routes: dict[str, object], services: list[dict[str, object]] | None = None) -> None:
-        self.view = View(ZONES)
+        self.view = View(ZONES, heartbeat_s=1.0, born=0.0)
         self.sequence = 0
         self.configure(*routes, services=services)
         self.decisions = Decisions(
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fordtrestle.admission.budgets import ColdBudget
 from fordtrestle.dissemination.items import (
     Availability,
     ControlView,
@@ -18,6 +19,7 @@
     server_item,
 )
 from fordtrestle.routing.pick import NO_PROMPT, Prompt, pick, read_prompt
+from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.servers import FORGET_S, Servers, nearest
 from fordtrestle.routing.table import parse_table
 from fordtrestle.routing.view import View
@@ -175,6 +177,10 @@
     assert pick(servers, prompt, (), draw) is not first
 
 
+def test_only_the_last_part_of_a_prompt_is_its_own():
+    assert Prompt(9000, 10, (("aa", 9000), ("own", 7))).own == 7 and NO_PROMPT.own is None
+
+
 @pytest.mark.parametrize(
     ("count", "prefix", "prompt"),
     [
@@ -189,7 +195,7 @@
 
 
 def test_the_view_follows_items_and_a_change_of_zones_alone_keeps_the_routes():
-    view = View(ZONES)
+    view = View(ZONES, heartbeat_s=1.0, born=0.0)
     view.apply([control_item(ControlView(1, 1, document({"name": "r", "path_prefix": "/"}), ()))], 0.0)
     table = view.table
     view.apply([control_item(ControlView(2, 1, document({"name": "r", "path_prefix": "/"}), ("z-1",)))], 0.0)
@@ -200,3 +206,27 @@
     down = MemberRecord("front-1", "sidecar", "z-1", "r-1", "p", "f", Availability.DOWN)
     view.apply([member_item(down, 1, 1)], 0.0)
     assert not view.sidecars
+
+
+def test_servers_of_a_zone_that_is_taken_back_are_held_to_be_cold_until_they_have_spoken():
+    view = View(ZONES, heartbeat_s=1.2, born=0.0)
+    view.apply([server_item(record("i-1"), 1), server_item(record("i-2", "z-2"), 1)], 0.0)
+    view.apply([control_item(ControlView(1, 1, b"", ("z-1",)))], 0.0)
+    view.apply([control_item(ControlView(2, 1, b"", ()))], 10.0)
+    cold = {server.instance: server.is_cold(11.7) for server in view.servers.of("pool")}
+    assert cold == {"i-1": True, "i-2": False}
+    assert not any(server.is_cold(11.9) for server in view.servers.of("pool"))
+
+
+def test_a_sidecar_that_has_just_started_sends_nothing_to_cold_servers():
+    view = View(ZONES, heartbeat_s=1.0, born=5.0)
+    service = {"name": "pool", "cold_rate_s": 9.9}
+    route = {"name": "r", "authority": "a", "path_prefix": "/", "timeout_ms": 1, "backend": "pool"}
+    text = json.dumps({"generation": 1, "routes": [route], "services": [service]}).encode()
+    view.apply(
+        [control_item(ControlView(1, 1, text, ())), server_item(record("i-1", cold_ms=9000.0), 1)], 5.0
+    )
+    selection = Selection(view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", lambda: 0.5)
+    taken = view.table.match("a", "/")
+    assert selection.choose(taken, "pool", NO_PROMPT, (), 6.9) is None
+    assert selection.choose(taken, "pool", NO_PROMPT, (), 7.1).instance == "i-1"
