Keep connections as long as servers tell, and prompts longer with the servers that hold them

Cause: unused connections were closed after 4 s where servers keep them for 10 (Keep-Alive), and where a server keeps them for less they would have been used too late. Requests left the server that holds their prompt's parts once it had 3 more in flight than the next.

Change: three quarters of the shortest time told (2 s before any is); 6 more in flight; the connection of a stream that may be resumed is probed, so that a silent machine is noticed.

--- a/fordtrestle/forward/client.py
+++ b/fordtrestle/forward/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -19,10 +20,13 @@
 from fordtrestle.forward.headers import NOT_EXECUTED, REQUEST_ID
 
 CONNECT_S = 0.5
-KEEP_ALIVE_S = 4.0  # that an unused connection is kept
+KEEP_ALIVE_S = 2.0  # that an unused connection is kept before any server has told its own time
+KEEP_SHARE = 0.75  # of the time that servers tell: one that is about to be closed may lose a request
 CONNECTIONS_MOST = 1024
 UNACKNOWLEDGED_MS = 1500  # that sent bytes may go unacknowledged: the server's machine is gone or cut off
+PROBE_IDLE_S, PROBES = 1, 1  # of silence before a probe, and probes that may go unanswered
 HEADER_MOST = 64 * 1024
+_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 _SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 _BROKEN = (aiohttp.ClientError, OSError, EOFError, ValueError)
 
@@ -74,7 +78,8 @@
     """The connections to all servers."""
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(
+        self._told_s = float("inf")  # the shortest time that a server keeps an unused connection
+        self._connector = connector = aiohttp.TCPConnector(
             limit=CONNECTIONS_MOST,
             keepalive_timeout=KEEP_ALIVE_S,
             use_dns_cache=False,
@@ -116,11 +121,20 @@
         if response.headers.get(REQUEST_ID) != outbound.request_id:
             response.close()  # a surplus answer to an earlier request: it proves nothing of this one
             return Broken()
+        self._learn_keep_alive(response.headers.get("Keep-Alive", ""))
         if NOT_EXECUTED in response.headers or response.status == 421:
             response.release()
             return Rejected(response.status)
         return Answered(response)
 
+    def _learn_keep_alive(self, told: str) -> None:
+        """Keep unused connections for less than any server does (RFC 2068, section 19.7.1.1)."""
+        found = _TIMEOUT.search(told)
+        if found and int(found.group(1)) < self._told_s:
+            self._told_s = float(found.group(1))
+            # aiohttp takes one time for all connections, and tells of no way to change it.
+            self._connector._keepalive_timeout = KEEP_SHARE * self._told_s
+
     async def close(self) -> None:
         """End all connections."""
         await self._session.close()
@@ -133,6 +147,20 @@
     return sock
 
 
+def notice_silence(response: aiohttp.ClientResponse) -> None:
+    """Let the connection of an answer that another server can finish break once its machine is silent.
+
+    A machine without power, or behind a cut, ends no connection: only probes that go unanswered tell.
+    """
+    transport = response.connection.transport if response.connection else None
+    sock = transport.get_extra_info("socket") if transport else None
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
 def has_whole_length(headers: Mapping[str, str], most: int) -> bool:
     """Whether an answer says that it is short enough to be read whole before it is passed on."""
     length = headers.get("Content-Length", "")
--- a/fordtrestle/routing/pick.py
+++ b/fordtrestle/routing/pick.py
@@ -10,7 +10,7 @@
 
 CANDIDATES = 3  # drawn at random where nothing ties a request to some
 HOLDERS = 2  # servers that a prompt's shared parts are kept at
-AFFINITY = 3.0  # requests more in flight that the first holder may have before the next one is taken
+AFFINITY = 6.0  # requests more in flight that the first holder may have before the next one is taken
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/ingress/test_exchanges.py
+++ b/tests/ingress/test_exchanges.py
@@ -57,6 +57,31 @@
         assert answer.startswith("HTTP/1.1 502") and len(server.requests) == 2
 
 
+@loopback
+async def test_connections_are_kept_for_less_than_any_server_says():
+    kept, ended = ok(head="Keep-Alive: timeout=10\r\n"), ok(head="Keep-Alive: timeout=0\r\n")
+    async with StandIn(kept, ended) as server, Stage(route()) as stage, Client(stage.port) as client:
+        stage.add(server)
+        await client.exchange(call())
+        assert stage.decisions.forwarder._connector._keepalive_timeout == 7.5
+        await client.exchange(call())
+        await client.exchange(call())
+        assert server.connections == 2
+
+
+@loopback
+async def test_the_connection_of_a_stream_that_may_be_resumed_is_probed(monkeypatch):
+    probed = []
+    monkeypatch.setattr("fordtrestle.forward.client.notice_silence", probed.append)
+    whole = [STREAM % b"s", chunk("id: 1\ndata: a\n\n"), b"0\r\n\r\n"]
+    for resumable in (True, False):
+        fields = {"route_type": "streaming", "resumable": resumable}
+        async with StandIn(whole) as server, Stage(route(**fields)) as stage, Client(stage.port) as client:
+            stage.add(server)
+            await client.exchange(call())
+        assert len(probed) == 1
+
+
 @loopback
 async def test_a_surplus_answer_is_nobodys():
     async with StandIn(ok("q1") + ok("q0", b"surplus"), ok("q2", b"mine")) as server, Stage(route()) as stage:
