Count a server whose answers begin late as holding more

Own requests in flight say nothing of what others send.

Change: the mean of how late a server's answers begin, forgotten in 3 s, counts as requests held beyond half of the objective.

--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -201,7 +201,7 @@
             case client.Answered():
                 server.answered()
                 shared.admission.accepted(callee, now)
-                shared.selection.answered(callee, server, now - sent, target_s)
+                shared.selection.answered(callee, server, now - sent, target_s, now)
             case client.Rejected(status):
                 server.answered()
                 if status in FULL_STATUSES:
--- a/fordtrestle/routing/selection.py
+++ b/fordtrestle/routing/selection.py
@@ -40,13 +40,14 @@
             near, far = far, near
         for among in (near, far):
             warm = [server for server in among if not server.is_cold(now)]
-            server = pick(warm, prompt, tried, self._draw)
+            server = pick(warm, prompt, tried, now, self._draw)
             if server:
                 return server
         return self._choose_cold(callee, [*near, *far], tried, now)
 
-    def answered(self, callee: str, server: Server, waited_s: float, target_s: float) -> None:
+    def answered(self, callee: str, server: Server, waited_s: float, target_s: float, now: float) -> None:
         """Learn how long a server's answer began to come after the send."""
+        server.began(waited_s / target_s, now)
         self._spill(callee).learn(server.region == self._region, waited_s / target_s)
 
     def _choose_cold(
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
@@ -10,6 +11,8 @@
 MS_PER_S = 1000.0
 REST_S = 0.25  # after a connection to a server failed; doubles with each further one
 REST_DOUBLINGS = 4
+DELAY_GAIN = 0.2  # weight of the newest answer
+DELAY_S = 3.0  # in which lateness is forgotten
 FORGET_S = 30.0  # a server that is gone and holds nothing of ours
 
 
@@ -26,6 +29,8 @@
     cold_until: float = 0.0
     rest_until: float = 0.0
     failures: int = 0  # connections that did not come up, in a row
+    delay: float = 0.0  # mean of how late its answers began, in shares of their objectives, as of `delay_at`
+    delay_at: float = 0.0
     misdirected: bool = False  # another incarnation has its address, until a newer word of this one
 
     @property
@@ -49,6 +54,15 @@
         """It has answered something."""
         self.failures = 0
 
+    def began(self, delay: float, now: float) -> None:
+        """An answer began so late, in shares of its objective."""
+        recent = self.lateness(now)
+        self.delay, self.delay_at = recent + DELAY_GAIN * (delay - recent), now
+
+    def lateness(self, now: float) -> float:
+        """How late its answers begin; forgotten while none comes."""
+        return self.delay * math.exp((self.delay_at - now) / DELAY_S)
+
     def is_usable(self, now: float) -> bool:
         """Whether it may take a request now, as far as it is itself concerned."""
         record = self.record
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -154,12 +154,12 @@
 
 def test_the_fewest_own_in_flight_of_a_few_drawn_wins():
     draw = random.Random(1).random
-    assert pick(known(3, 0, 2), NO_PROMPT, (), draw).instance == "i-1"
-    assert pick(known(3, 0, 2), NO_PROMPT, {"i-1"}, draw).instance == "i-2"
-    assert pick(known(1), NO_PROMPT, {"i-0"}, draw) is None
-    drawn = {pick(known(*[0] * 10), NO_PROMPT, (), draw).instance for _ in range(200)}
+    assert pick(known(3, 0, 2), NO_PROMPT, (), 0.0, draw).instance == "i-1"
+    assert pick(known(3, 0, 2), NO_PROMPT, {"i-1"}, 0.0, draw).instance == "i-2"
+    assert pick(known(1), NO_PROMPT, {"i-0"}, 0.0, draw) is None
+    drawn = {pick(known(*[0] * 10), NO_PROMPT, (), 0.0, draw).instance for _ in range(200)}
     assert len(drawn) == 10
-    worst = [pick(known(*range(10)), NO_PROMPT, (), draw).in_flight for _ in range(500)]
+    worst = [pick(known(*range(10)), NO_PROMPT, (), 0.0, draw).in_flight for _ in range(500)]
     assert 0 < worst.count(0) < 400 and max(worst) <= 7
 
 
@@ -167,19 +167,29 @@
     draw = random.Random(1).random
     prompt = Prompt(10, 10, (("aa", 5), ("bb", 5), ("own", 1)))
     servers = known(0, 0, 0, 0)
-    first = pick(servers, prompt, (), draw)
-    assert {pick(servers, prompt, (), draw) for _ in range(20)} == {first}
-    assert pick(servers, Prompt(10, 10, (("aa", 5), ("bb", 5), ("other", 1))), (), draw) is first
+    first = pick(servers, prompt, (), 0.0, draw)
+    assert {pick(servers, prompt, (), 0.0, draw) for _ in range(20)} == {first}
+    assert pick(servers, Prompt(10, 10, (("aa", 5), ("bb", 5), ("other", 1))), (), 0.0, draw) is first
     first.in_flight = 5
-    assert pick(servers, prompt, (), draw) is first
+    assert pick(servers, prompt, (), 0.0, draw) is first
     first.in_flight = 9
-    assert pick(servers, prompt, (), draw) is not first
+    assert pick(servers, prompt, (), 0.0, draw) is not first
 
 
 def test_only_the_last_part_of_a_prompt_is_its_own():
     assert Prompt(9000, 10, (("aa", 9000), ("own", 7))).own == 7 and NO_PROMPT.own is None
 
 
+def test_a_server_whose_answers_begin_late_counts_as_holding_more_until_that_is_forgotten():
+    draw = random.Random(1).random
+    servers = known(0, 2)
+    for _ in range(20):
+        servers[0].began(2.0, 0.0)
+        servers[1].began(0.4, 0.0)
+    assert pick(servers, NO_PROMPT, (), 0.0, draw) is servers[1]
+    assert pick(servers, NO_PROMPT, (), 30.0, draw) is servers[0]
+
+
 @pytest.mark.parametrize(
     ("count", "prefix", "prompt"),
     [
