Add fordtrestle ctl, follow settings that change, tell of members that have gone

The control endpoint lists what it knows. Seeds of a changed file are followed each second, with SIGHUP or without; wrong files change nothing.

--- a/fordtrestle/cli/__init__.py
+++ b/fordtrestle/cli/__init__.py
@@ -14,6 +14,7 @@
 WORDS = {
     "sidecar": "serve clients of the system, as the file that FORDTRESTLE_CONFIG names tells",
     "control": "keep the system's control state, as that file tells",
+    "ctl": "ask and order the control processes, as an operator",
     "serve": "run the services and fronts of an operator file",
     "check": "read an operator file and tell all that is wrong with it",
     "load": "send a load at the times it states, whatever is still open, and report what came of it",
--- a/fordtrestle/control_api/configuration.py
+++ b/fordtrestle/control_api/configuration.py
@@ -52,12 +52,12 @@
     weighted_backends = fields.List(fields.Nested(_Weighted), allow_none=True)
     home_regions = fields.List(fields.String(), allow_none=True)
 
-    @validates_schema
+    @validates_schema(skip_on_field_errors=False)
     def check_backends(self, data: Mapping[str, Any], **_: Any) -> None:
         weighted = data.get("weighted_backends")
         if not weighted and not data.get("backend"):
             raise ValidationError("a backend is needed", "backend")
-        if weighted and not sum(entry["weight"] for entry in weighted) > 0:
+        if weighted and not sum(entry.get("weight") or 0.0 for entry in weighted) > 0:
             raise ValidationError("the weights add up to 0", "weighted_backends")
 
 
@@ -83,17 +83,19 @@
     services = fields.List(fields.Nested(_Service), required=True)
     limits = fields.Nested(_Limits, allow_none=True)
 
-    @validates_schema
+    @validates_schema(skip_on_field_errors=False)
     def check_references(self, data: Mapping[str, Any], **_: Any) -> None:
-        services = {service["name"] for service in data["services"]}
+        services = {service.get("name") for service in data.get("services") or ()}
+        routes = data.get("routes") or ()
         faults = []
-        for route in data["routes"]:
-            weighted = route.get("weighted_backends")
-            named = [entry["backend"] for entry in weighted] if weighted else [route["backend"]]
-            faults += [f"{route['name']}: no service {name!r}" for name in named if name not in services]
-        places = [(route["authority"].lower(), route["path_prefix"]) for route in data["routes"]]
+        for route in routes:
+            weighted = route.get("weighted_backends") or [route]
+            named = [entry.get("backend") for entry in weighted]
+            unknown = [name for name in named if name and name not in services]
+            faults += [f"{route.get('name')}: no service {name!r}" for name in unknown]
+        places = [(str(route.get("authority", "")).lower(), route.get("path_prefix")) for route in routes]
         faults += [f"two routes at {host}{prefix}" for host, prefix in duplicates_everseen(places)]
-        names = [route["name"] for route in data["routes"]]
+        names = [route.get("name") for route in routes]
         faults += [f"two routes are called {name!r}" for name in duplicates_everseen(names)]
         if faults:
             raise ValidationError(faults, "routes")
--- a/fordtrestle/control_api/http.py
+++ b/fordtrestle/control_api/http.py
@@ -10,10 +10,11 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
+from fordtrestle.control_api import listings
 from fordtrestle.control_api.heartbeats import BODY_MOST, Heartbeats, read_heartbeat
 from fordtrestle.control_api.orders import Orders, Outcome, Verdict
 from fordtrestle.peer.gossip import Gossip
-from fordtrestle.replication.epochs import Store
+from fordtrestle.replication.epochs import Epoch
 
 ORDER_MOST = 32 * 1024 * 1024
 BODY_S = 5.0
@@ -39,13 +40,13 @@
         heartbeats: Heartbeats,
         gossip: Gossip,
         zones: frozenset[str],
-        primary: Callable[[], Store | None],
+        epoch: Callable[[], Epoch | None],
     ) -> None:
         self._orders = orders
         self._heartbeats = heartbeats
         self._gossip = gossip
         self._zones = zones
-        self._primary = primary
+        self._epoch = epoch
 
     def application(self) -> web.Application:
         """The routes of the endpoint."""
@@ -55,6 +56,7 @@
                 web.post("/v1/config/{kind:put|patch}", self._change),
                 web.get("/v1/config/get", self._get),
                 web.post("/v1/evacuations/{zone}/{step:start|finish}", self._evacuate),
+                web.get("/v1/{listing:epoch|members|servers}", self._list),
                 web.post("/v1/instances/{instance}/heartbeat", self._heartbeat),
                 web.post("/v1/instances/{instance}/deregister", self._deregister),
             ]
@@ -84,6 +86,18 @@
         outcome = await self._orders.evacuate(zone, request.match_info["step"] == "start")
         return self._answer(request, outcome)
 
+    async def _list(self, request: web.Request) -> web.StreamResponse:
+        """What this process knows, as rows for `fordtrestle ctl`."""
+        catalog = self._gossip.catalog
+        match request.match_info["listing"]:
+            case "members":
+                rows = listings.members(catalog)
+            case "servers":
+                rows = listings.servers(catalog)
+            case _:
+                rows = listings.epoch(self._epoch())
+        return web.json_response({"rows": rows})
+
     async def _heartbeat(self, request: web.Request) -> web.StreamResponse:
         instance = request.match_info["instance"]
         body = await read_body(request)
@@ -114,7 +128,8 @@
             case Verdict.INVALID:
                 return reply(400, *outcome.faults)
             case Verdict.ELSEWHERE:
-                primary = self._primary()
+                epoch = self._epoch()
+                primary = epoch.store(epoch.primary) if epoch else None
                 if primary:
                     return reply(307, Location=f"http://{primary.control}{request.raw_path}")
         return reply(503, "no answer yet: send it again", Retry_After=str(RETRY_AFTER_S))
--- a/fordtrestle/dissemination/messages.py
+++ b/fordtrestle/dissemination/messages.py
@@ -36,4 +36,18 @@
     keys: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HasLink:
+    """Asks whether the receiver has a link to a node."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class Vouch:
+    """The sender has a link to that node."""
+
+    node: str
+
+
 GossipMessage = Update | RangeDigests | RangeVersions | Want
--- /dev/null
+++ b/fordtrestle/dissemination/suspicion.py
@@ -0,0 +1,69 @@
+"""Which fellow processes have gone. Pure.
+
+Each is watched by a few that rendezvous hashing draws, and none is told to be down by one that merely cannot
+reach it itself.
+
+A watcher that has had no link for a while asks others whether they have one. Only if none says so in time it
+tells that the member is down; a member that is not refutes that with its next word (`items.member_item`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from fordtrestle.dissemination.rendezvous import ranked
+
+WATCHERS = 3
+SUSPECT_S = 4.0  # without a link, then others are asked
+CONFIRM_S = 2.0  # that they have to answer in
+ASKED_MOST = 5
+
+
+def watchers(node: str, nodes: Iterable[str]) -> list[str]:
+    """Who watches a node; the same everywhere."""
+    return ranked(node, (other for other in nodes if other != node))[:WATCHERS]
+
+
+@dataclass(slots=True)
+class _Watch:
+    missed_since: float
+    asked_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Steps:
+    """What to do now: whom to ask others about, and who is down."""
+
+    ask: tuple[str, ...] = ()
+    down: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """One process's watches. Times are s of a steady clock."""
+
+    me: str
+    _watches: dict[str, _Watch] = field(default_factory=dict)
+
+    def tick(self, nodes: Collection[str], linked: Collection[str], now: float) -> Steps:
+        """Go on with the watches; `nodes` are all that are held to be up, `linked` those with a link."""
+        mine = {node for node in nodes if node != self.me and self.me in watchers(node, nodes)}
+        for node in list(self._watches):
+            if node not in mine or node in linked:
+                del self._watches[node]
+        ask, down = [], []
+        for node in sorted(mine - set(linked)):
+            watch = self._watches.setdefault(node, _Watch(now))
+            if watch.asked_at is None and now - watch.missed_since >= SUSPECT_S:
+                watch.asked_at = now
+                ask.append(node)
+            elif watch.asked_at is not None and now - watch.asked_at >= CONFIRM_S:
+                del self._watches[node]
+                down.append(node)
+        return Steps(tuple(ask), tuple(down))
+
+    def vouched(self, node: str, now: float) -> None:
+        """Another process has a link to it: it is only this one that cannot reach it."""
+        if node in self._watches:
+            self._watches[node] = _Watch(now)
--- a/fordtrestle/peer/codec.py
+++ b/fordtrestle/peer/codec.py
@@ -73,6 +73,8 @@
     messages.RangeDigests,
     messages.RangeVersions,
     messages.Want,
+    messages.HasLink,
+    messages.Vouch,
 )
 _TAGS = {kind: _FIRST_TAG + index for index, kind in enumerate(_TYPES)}
 _BY_TAG = {tag: kind for kind, tag in _TAGS.items()}
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -127,10 +127,9 @@
         )
 
     @property
-    def primary(self) -> Store | None:
-        """Where the primary is thought to be."""
-        epoch = self.epoch or self.durable.accepted
-        return epoch.store(epoch.primary) if epoch else None
+    def newest_epoch(self) -> Epoch | None:
+        """The newest epoch that this store knows, open or only accepted."""
+        return self.epoch or self.durable.accepted
 
     @property
     def committed_state(self) -> ControlState | None:
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -115,7 +115,7 @@
         control.heartbeats,
         process.gossip,
         frozenset(boot.zones),
-        lambda: control.node.primary,
+        lambda: control.node.newest_epoch,
     )
     runners = [await serve_http(api.application(), boot.listen["control"])]
     if "directory" in boot.listen:
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -17,17 +17,16 @@
 from returns.result import Failure, Success
 
 from fordtrestle.dissemination.catalog import Catalog
-from fordtrestle.dissemination.items import Availability, Item, MemberRecord
-from fordtrestle.dissemination.messages import GossipMessage
-from fordtrestle.dissemination.rendezvous import ranked
+from fordtrestle.dissemination.items import MEMBER_PREFIX, Availability, Item, MemberRecord, member_item
+from fordtrestle.dissemination.messages import GossipMessage, HasLink, Vouch
+from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, watchers
 from fordtrestle.peer.codec import Hello
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
-from fordtrestle.settings.boot import Address, Boot, read
+from fordtrestle.settings.boot import Address, Boot, file_bytes, read
 
 CONTROL_ROLE = "control"
 SIDECAR_ROLE = "sidecar"
-PEERS_EACH = 2  # sidecars that a sidecar keeps a link to, besides those of all control processes
 CONTROLS_MOST = 9
 DIAL_S = 1.0
 EXIT_FAILED, EXIT_BAD_INPUT = 1, 2
@@ -59,6 +58,10 @@
         )
         incarnation = int(time.time())  # an order among lives; where the clock went back, it is refuted
         self.gossip = Gossip(Catalog(), self.mesh, me, incarnation, self._changed)
+        self._nodes: set[str] = set()  # members, as the watches were last drawn among them
+        self._watched: set[str] = set()
+        self._suspicion = Suspicion(boot.node_name)
+        self._settings = file_bytes()
         self.on_items: Callable[[list[Item]], None] = lambda items: None
         self.on_message: Callable[[Any], None] = lambda message: None
 
@@ -77,20 +80,56 @@
         self.gossip.announce(replace(self.gossip.me, availability=availability))
 
     def dial(self) -> None:
-        """Keep links to all control processes and to the few sidecars that rendezvous hashing draws."""
+        """Keep links to all control processes, and to the members that this one watches."""
         members = [m for m, _ in self.gossip.catalog.members() if m.availability is not Availability.DOWN]
         controls = {peer_address(self.boot, seed.host, CONTROL_ROLE) for seed in self.boot.seeds}
         controls.update(sorted(m.peer for m in members if m.role == CONTROL_ROLE)[:CONTROLS_MOST])
-        if self.role == SIDECAR_ROLE:
-            peers = [m.peer for m in members if m.role == SIDECAR_ROLE and m.peer != self.gossip.me.peer]
-            controls.update(ranked(self.boot.node_name, peers)[:PEERS_EACH])
-        self.mesh.dial(controls)
+        nodes = {member.node for member in members}
+        if nodes != self._nodes:
+            self._nodes = nodes
+            self._watched = {n for n in nodes if self.boot.node_name in watchers(n, nodes)}
+        self.mesh.dial(controls | {member.peer for member in members if member.node in self._watched})
 
     async def keep_dialling(self) -> None:
         """Follow the membership until cancelled."""
         while True:
             await asyncio.sleep(DIAL_S)
+            self._reload()
             self.dial()
+            self._watch()
+
+    def _reload(self) -> None:
+        """Take up the seeds of settings that have changed, with a signal or without.
+
+        Settings that are wrong change nothing; what a running process cannot change waits for the next one.
+        """
+        standing = file_bytes()
+        if standing == self._settings:
+            return
+        self._settings = standing
+        match read():
+            case Success(boot):
+                followed = replace(self.boot, seeds=boot.seeds)
+                needs_restart = replace(boot, bootstrap=followed.bootstrap) != followed
+                eliot.log_message("settings:changed", needs_restart=needs_restart)
+                self.boot = followed
+            case Failure(wrong):
+                eliot.log_message("settings:refused", faults=list(wrong.faults))
+
+    def _watch(self) -> None:
+        """Tell of members that have gone, once others were asked about them too."""
+        catalog = self.gossip.catalog
+        up = {m.node for m, _ in catalog.members() if m.availability is not Availability.DOWN}
+        steps = self._suspicion.tick(up, self.in_touch(), asyncio.get_running_loop().time())
+        for node in steps.ask:
+            for link in self.rng.sample(self.mesh.links(), min(ASKED_MOST, len(self.mesh.links()))):
+                link.send(HasLink(node))
+        for node in steps.down:
+            item = catalog.get(MEMBER_PREFIX + node)
+            if item and isinstance(item.value, MemberRecord):
+                eliot.log_message("members:down", node=node)
+                down = replace(item.value, availability=Availability.DOWN)
+                self.gossip.publish([member_item(down, item.version[0], item.version[1])])
 
     def in_touch(self) -> set[str]:
         """The nodes that a link is up to."""
@@ -99,6 +138,11 @@
     def _received(self, link: Link, message: Any) -> None:
         if isinstance(message, GossipMessage):
             self.gossip.received(link, message)
+        elif isinstance(message, HasLink):
+            if self.mesh.link(message.node):
+                link.send(Vouch(message.node))
+        elif isinstance(message, Vouch):
+            self._suspicion.vouched(message.node, asyncio.get_running_loop().time())
         else:
             self.on_message(message)
 
--- a/fordtrestle/settings/boot.py
+++ b/fordtrestle/settings/boot.py
@@ -227,6 +227,14 @@
     return Success(boot)
 
 
+def file_bytes(path: Path | None = None) -> bytes:
+    """The settings file as it stands, to see whether it has changed; empty where it cannot be read."""
+    try:
+        return (path or Path(os.environ.get(VARIABLE, DEFAULT_PATH))).read_bytes()
+    except OSError:
+        return b""
+
+
 def read(path: Path | None = None) -> Result[Boot, SettingsError]:
     """Read the settings file at a path, or where the environment says."""
     path = path or Path(os.environ.get(VARIABLE, DEFAULT_PATH))
--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -74,7 +74,7 @@
             Heartbeats("core-1", 1.0),
             self.gossip,
             frozenset(("z-1", "z-2")),
-            lambda: self.node.primary,
+            lambda: self.node.newest_epoch,
         )
         self._runner, self.port = await serve(api.application())
         return self
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -62,10 +62,12 @@
     "admission/spill.py",
     "admission/urgency.py",
     "admission/window.py",
+    "control_api/listings.py",
     "dissemination/catalog.py",
     "dissemination/items.py",
     "dissemination/messages.py",
     "dissemination/rendezvous.py",
+    "dissemination/suspicion.py",
     "forward/events.py",
     "forward/headers.py",
     "replication/durable.py",
@@ -112,7 +114,9 @@
 }
 IMPURE = {
     "cli/control.py",
+    "cli/ctl.py",
     "cli/sidecar.py",
+    "control_api/client.py",
     "control_api/configuration.py",
     "control_api/heartbeats.py",
     "control_api/http.py",
