Count prompts still to be read by their size, leave budgets to the lately lost

Cause: requests in flight say nothing of a prompt of 20,000 tokens that a server reads for half a second; and a region behind a cut is told to be down after 6 s, though it goes on spending its part of the fleet's budgets.

Change: own prompts without an answer yet count at their server by their size against the mean; a sidecar that is told to be down keeps its share for 120 s.

--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -191,7 +191,12 @@
         self._release()
         self._hold(server)
         sent = loop.time()
-        outcome = await shared.forwarder.send(server.record.address, outbound, deadline)
+        tokens = inbound.prompt.own or 0
+        server.reading += tokens
+        try:
+            outcome = await shared.forwarder.send(server.record.address, outbound, deadline)
+        finally:
+            server.reading -= tokens
         now = loop.time()
         progress.sends += not isinstance(outcome, client.Unreachable)
         progress.runs += not isinstance(outcome, client.Unreachable | client.Rejected)
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -79,7 +79,7 @@
 async def _forget(view: View) -> None:
     while True:
         await asyncio.sleep(FORGET_S)
-        view.servers.forget(asyncio.get_running_loop().time())
+        view.forget(asyncio.get_running_loop().time())
 
 
 async def _leave(process: Process, front: Front, grace_s: float) -> None:
--- a/fordtrestle/routing/pick.py
+++ b/fordtrestle/routing/pick.py
@@ -10,6 +10,7 @@
 
 CANDIDATES = 3  # drawn at random where nothing ties a request to some
 HOLDERS = 2  # servers that a prompt's shared parts are kept at
+READING_HELD = 2.0  # requests that a prompt of mean size counts as holding more until its answer begins
 LATE = 0.5  # of the objective: answers that begin sooner are in time
 LATE_HELD = (
     12.0  # requests that a server counts as holding more for each objective that its answers are later
@@ -59,25 +60,34 @@
     return Prompt(max(0, tokens_in), max(0, tokens_out), tuple(parts))
 
 
-def held(server: Server, now: float) -> float:
-    """Own requests in flight at a server; one whose answers begin late counts as holding more."""
-    return server.in_flight + LATE_HELD * max(0.0, server.lateness(now) - LATE)
+def held(server: Server, now: float, mean_tokens: float) -> float:
+    """Own requests in flight at a server.
+
+    Prompts still to be read count by their size, and a server whose answers begin late as holding more.
+    """
+    late = LATE_HELD * max(0.0, server.lateness(now) - LATE)
+    return server.in_flight + READING_HELD * server.reading / mean_tokens + late
 
 
 def pick(
-    usable: Sequence[Server], prompt: Prompt, tried: Collection[str], now: float, draw: Callable[[], float]
+    usable: Sequence[Server],
+    prompt: Prompt,
+    tried: Collection[str],
+    now: float,
+    draw: Callable[[], float],
+    mean_tokens: float = 1.0,
 ) -> Server | None:
     """The server for a request among those it may use; nothing where all were tried."""
     left = [server for server in usable if server.instance not in tried]
     if not left:
         return None
     if prompt.shared:
-        return _by_prefix(left, prompt.shared, now)
+        return _by_prefix(left, prompt.shared, now, mean_tokens)
     drawn = sorted(left, key=lambda _: draw())[:CANDIDATES]
-    return min(drawn, key=lambda server: held(server, now))
+    return min(drawn, key=lambda server: held(server, now, mean_tokens))
 
 
-def _by_prefix(servers: Sequence[Server], shared: str, now: float) -> Server:
+def _by_prefix(servers: Sequence[Server], shared: str, now: float, mean_tokens: float) -> Server:
     holders = sorted(servers, key=lambda server: weight(shared, server.instance), reverse=True)[:HOLDERS]
     ranks = {server.instance: rank for rank, server in enumerate(holders)}
-    return min(holders, key=lambda server: held(server, now) + AFFINITY * ranks[server.instance])
+    return min(holders, key=lambda server: held(server, now, mean_tokens) + AFFINITY * ranks[server.instance])
--- a/fordtrestle/routing/selection.py
+++ b/fordtrestle/routing/selection.py
@@ -13,6 +13,9 @@
 from fordtrestle.routing.table import Route
 from fordtrestle.routing.view import View
 
+MEAN_GAIN = 0.02
+FIRST_MEAN = 1000.0
+
 
 class Selection:
     """Chooses by what a sidecar knows at the moment of the send."""
@@ -26,6 +29,7 @@
         self._region = region
         self._draw = draw
         self._spills: dict[str, Spill] = {}
+        self._mean_tokens = FIRST_MEAN  # of a prompt's own part
 
     def choose(
         self, route: Route, callee: str, prompt: Prompt, tried: Collection[str], now: float
@@ -34,13 +38,15 @@
         none.
         """
         view = self._view
+        if prompt.own:
+            self._mean_tokens += MEAN_GAIN * (prompt.own - self._mean_tokens)
         usable = view.servers.usable(callee, view.evacuated, route.home_regions, now)
         near, far = nearest(usable, self._zone, self._region)
         if near and far and self._draw() < self._spill(callee).share:
             near, far = far, near
         for among in (near, far):
             warm = [server for server in among if not server.is_cold(now)]
-            server = pick(warm, prompt, tried, now, self._draw)
+            server = pick(warm, prompt, tried, now, self._draw, self._mean_tokens)
             if server:
                 return server
         return self._choose_cold(callee, [*near, *far], tried, now)
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -25,7 +25,7 @@
     told_at: float
     version: Version
     in_flight: int = 0  # this sidecar's own requests
-    tokens: int = 0  # that those hold of its memory
+    reading: int = 0  # tokens of this sidecar's own prompts there, of which no answer has begun
     cold_until: float = 0.0
     rest_until: float = 0.0
     failures: int = 0  # connections that did not come up, in a row
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -13,6 +13,7 @@
 from fordtrestle.routing.table import RouteTable, parse_table
 
 SIDECAR_ROLE = "sidecar"
+DOWN_S = 120.0
 ACQUAINTED_S = 2.0
 HEARTBEATS_OF_DOUBT = 1.5  # for which servers that were out of use are held to be cold
 
@@ -27,7 +28,8 @@
         self.generation = 0
         self.evacuated: frozenset[str] = frozenset()
         self.servers = Servers(zones)
-        self.sidecars: set[str] = set()
+        self.sidecars: set[str] = set()  # that share the fleet's budgets, those lately told to be down too
+        self._down_since: dict[str, float] = {}
 
     def apply(self, items: Iterable[Item], now: float) -> None:
         """Follow items that are new to the catalog."""
@@ -38,10 +40,22 @@
                 case ServerRecord() as record:
                     self.servers.take(record, item.version, now)
                 case MemberRecord(role=role, node=node, availability=availability) if role == SIDECAR_ROLE:
+                    self.sidecars.add(node)
                     if availability is Availability.DOWN:
-                        self.sidecars.discard(node)
+                        self._down_since.setdefault(node, now)
                     else:
-                        self.sidecars.add(node)
+                        self._down_since.pop(node, None)
+
+    def forget(self, now: float) -> None:
+        """Drop servers that are gone, and sidecars that have been down for long.
+
+        Those behind a cut are told to be down too, and go on spending their part: it stays theirs a while.
+        """
+        self.servers.forget(now)
+        for node, since in list(self._down_since.items()):
+            if now - since > DOWN_S:
+                del self._down_since[node]
+                self.sidecars.discard(node)
 
     def knows_fellows(self, now: float) -> bool:
         """Whether this process has been there for long enough to know who shares the fleet's budgets."""
