Wait for no primary whose disk was lost, and no answer's connection that is not to be resumed is probed

Change: probes are switched on or off for each answer; a store that announces itself from the primary's machine ends the waiting, once.

--- a/fordtrestle/forward/client.py
+++ b/fordtrestle/forward/client.py
@@ -147,15 +147,16 @@
     return sock
 
 
-def notice_silence(response: aiohttp.ClientResponse) -> None:
+def notice_silence(response: aiohttp.ClientResponse, wanted: bool) -> None:
     """Let the connection of an answer that another server can finish break once its machine is silent.
 
-    A machine without power, or behind a cut, ends no connection: only probes that go unanswered tell.
+    A machine without power, or behind a cut, ends no connection: only probes that go unanswered tell. Where
+    nobody else can finish the answer, it is waited for as long as there is time: a cut may end.
     """
     transport = response.connection.transport if response.connection else None
     sock = transport.get_extra_info("socket") if transport else None
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(wanted))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -230,8 +230,7 @@
         relay = StreamRelay(self._request, response, route.resumable)
         await relay.begin()
         while True:
-            if relay.can_resume:
-                client.notice_silence(response)
+            client.notice_silence(response, wanted=relay.can_resume)
             end = await relay.feed(response, deadline)
             if end is End.COMPLETE:
                 return await relay.finish()
--- a/fordtrestle/replication/leadership.py
+++ b/fordtrestle/replication/leadership.py
@@ -6,9 +6,7 @@
 
 from fordtrestle.replication.epochs import Epoch, majority
 
-MAJORITY_S = (
-    1.2  # without a majority's answer for so long the primary steps down: others must be free to elect
-)
+MAJORITY_S = 1.2  # without a majority's answer for so long the primary steps down: others may elect
 APPEND_S = 1.0  # that a write may take before the replicas are changed
 
 
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -80,6 +80,7 @@
         self._canvass_newest = NO_BALLOT
         self._entries = 0
         self._heard_primary = now
+        self._primary_lost = ""  # a primary whose machine holds another store by now
         # Whether this store was primary and has started anew: nobody else is primary of that epoch.
         self._returning = bool(durable.accepted and durable.accepted.primary == me.id)
         self._miss(now)
@@ -175,6 +176,7 @@
         match message:
             case wire.Announce():
                 self._contacts.meet(message, now)
+                self._notice_lost_primary(message.store, now)
             case wire.Heartbeat():
                 self._take_heartbeat(sender, message, now)
             case wire.HeartbeatAck():
@@ -305,6 +307,16 @@
         self._election_at = now + wait
         self._canvass = None
 
+    def _notice_lost_primary(self, store: Store, now: float) -> None:
+        """Another store in the primary's machine: its disk was lost, and waiting for it is in vain."""
+        accepted = self.durable.accepted
+        primary = accepted.store(accepted.primary) if accepted else None
+        if primary is None or primary.id in (store.id, self._primary_lost):
+            return
+        if primary.address == store.address:
+            self._primary_lost = primary.id
+            self._election_at = min(self._election_at, now + ELECTION_JITTER_S * self._draw())
+
     def _ask_for_election(self, now: float) -> None:
         accepted = self.durable.accepted
         self._miss(now)
@@ -318,7 +330,8 @@
     def _answer_canvass(self, sender: str, message: wire.Canvass, now: float) -> None:
         accepted = self.durable.accepted
         itself = accepted is not None and accepted.primary == sender  # it has started anew
-        misses = sender == self.me.id or itself or now - self._heard_primary > ELECTION_S
+        lost = accepted is not None and accepted.primary == self._primary_lost
+        misses = sender == self.me.id or itself or lost or now - self._heard_primary > ELECTION_S
         if misses and not (self._leadership and sender != self.me.id):
             answer = wire.CanvassAck(message.round, self.durable.promised, self.durable.accepted)
             self._send(sender, answer)
--- a/tests/ingress/test_exchanges.py
+++ b/tests/ingress/test_exchanges.py
@@ -72,14 +72,15 @@
 @loopback
 async def test_the_connection_of_a_stream_that_may_be_resumed_is_probed(monkeypatch):
     probed = []
-    monkeypatch.setattr("fordtrestle.forward.client.notice_silence", probed.append)
+    notice = "fordtrestle.forward.client.notice_silence"
+    monkeypatch.setattr(notice, lambda response, wanted: probed.append(wanted))
     whole = [STREAM % b"s", chunk("id: 1\ndata: a\n\n"), b"0\r\n\r\n"]
     for resumable in (True, False):
         fields = {"route_type": "streaming", "resumable": resumable}
         async with StandIn(whole) as server, Stage(route(**fields)) as stage, Client(stage.port) as client:
             stage.add(server)
             await client.exchange(call())
-        assert len(probed) == 1
+        assert probed[-1] is resumable
 
 
 @loopback
--- a/tests/replication/test_hard_cases.py
+++ b/tests/replication/test_hard_cases.py
@@ -232,3 +232,19 @@
     FOUND_BY_SCHEDULE[guard](monkeypatch)
     with pytest.raises(Breach):
         SCHEDULES[guard]()
+
+
+def test_a_primary_whose_machine_holds_another_store_is_not_waited_for():
+    script = Script()
+    a, b, c = script.a, script.b, script.c
+    for machine in (a, b, c):
+        script.stop(machine)
+    script.wipe(a)
+    for machine in (a, b, c):
+        machine.now = 100.0
+        script.start(machine)
+    script.announce(a)
+    for _ in range(6):
+        script.tick(b, 0.05)
+        script.flow(b, c)
+    assert b.node.is_primary and b.now < 100.4
