Give prompts with long shared parts one holder among all regions

Cause: each region read the shared parts of prompts anew, so that a region of one server held 360,000 tokens of them in memory for 264,000; what is read again is priced, and the reading holds up others.

Change: a prompt whose shared parts take longer to read than half of a crossing there and back (the reading holds up others too) goes to the server that rendezvous hashing draws among all regions. Both times are learned: reading from the quickest answers of late, crossings from how long links took to come up. Unknown times mean the own region.

--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -206,7 +206,7 @@
             case client.Answered():
                 server.answered()
                 shared.admission.accepted(callee, now)
-                shared.selection.answered(callee, server, now - sent, target_s, now)
+                shared.selection.answered(callee, server, inbound.prompt, now - sent, target_s, now)
             case client.Rejected(status):
                 server.answered()
                 if status in FULL_STATUSES:
--- a/fordtrestle/peer/mesh.py
+++ b/fordtrestle/peer/mesh.py
@@ -47,6 +47,7 @@
         self._linked = linked
         self._links: dict[str, list[Link]] = {}  # by node, the newest last
         self._dials: dict[str, asyncio.Task[None]] = {}  # by address
+        self.round_trips: dict[str, float] = {}  # by address that is dialled: s, the shortest seen
         self._server: asyncio.Server | None = None
         self._accepted: set[asyncio.Task[None]] = set()
 
@@ -59,6 +60,7 @@
         wanted = set(addresses) - {self._me.peer}
         for address in set(self._dials) - wanted:
             self._dials.pop(address).cancel()
+            self.round_trips.pop(address, None)
         for address in wanted - set(self._dials):
             self._dials[address] = asyncio.create_task(self._keep_dialled(address))
 
@@ -113,8 +115,10 @@
         where = Address.parse(address)
         while True:
             try:
+                began = asyncio.get_running_loop().time()
                 async with asyncio.timeout(DIAL_S):
                     reader, writer = await asyncio.open_connection(where.host, where.port)
+                self._note_round_trip(address, asyncio.get_running_loop().time() - began)
                 connection = Connection(reader, writer)
                 try:
                     connection.send(self._me)
@@ -127,6 +131,10 @@
                 pass
             await asyncio.sleep(REDIAL_S)
 
+    def _note_round_trip(self, address: str, took_s: float) -> None:
+        """A connection came up after one round trip, and whatever delayed it."""
+        self.round_trips[address] = min(took_s, self.round_trips.get(address, took_s))
+
     async def _run(self, hello: Any, connection: Connection) -> None:
         if not isinstance(hello, Hello) or hello.node == self._me.node:
             connection.close()
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -98,6 +98,12 @@
             self.dial()
             self._watch()
 
+    def crossing_s(self, region: str) -> float | None:
+        """The time there and back to a region, as links to its members came up; nothing while none has."""
+        peers = [m.peer for m, _ in self.gossip.catalog.members() if m.region == region]
+        known = [self.mesh.round_trips[peer] for peer in peers if peer in self.mesh.round_trips]
+        return min(known, default=None)
+
     def _reload(self) -> None:
         """Take up the seeds of settings that have changed, with a signal or without.
 
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -39,7 +39,7 @@
         view=view,
         admission=Admission(process.rng.random),
         retries=RetryBudget(bounds.retry_budget_ratio, bounds.retry_allowance, bounds.budget_window_s),
-        selection=Selection(view, cold, boot.zone, boot.region, process.rng.random),
+        selection=Selection(view, cold, boot.zone, boot.region, process.rng.random, process.crossing_s),
         urgency=Urgency(),
         waiting=Waiting(),
         forwarder=Forwarder(),
--- a/fordtrestle/routing/pick.py
+++ b/fordtrestle/routing/pick.py
@@ -36,6 +36,11 @@
         """The tokens of the part that no other request has, where the prompt was told."""
         return self.parts[-1][1] if self.parts else None
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of all parts that other requests have, too."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
     @property
     def shared(self) -> str:
         """The last part that other requests have, too; empty where there is none."""
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -105,7 +105,12 @@
             admission=Admission(random.Random(1).random),
             retries=RetryBudget(0.2, 50.0, 10.0),
             selection=Selection(
-                self.view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", random.Random(1).random
+                self.view,
+                ColdBudget(1.5, 5.0, "front-1"),
+                "z-1",
+                "r-1",
+                random.Random(1).random,
+                lambda region: None,
             ),
             urgency=Urgency(),
             waiting=Waiting(),
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -19,6 +19,7 @@
     server_item,
 )
 from fordtrestle.routing.pick import NO_PROMPT, Prompt, pick, read_prompt
+from fordtrestle.routing.reading import ReadingRate
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.servers import FORGET_S, Servers, nearest
 from fordtrestle.routing.table import parse_table
@@ -246,7 +247,49 @@
     view.apply(
         [control_item(ControlView(1, 1, text, ())), server_item(record("i-1", cold_ms=9000.0), 1)], 5.0
     )
-    selection = Selection(view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", lambda: 0.5)
+    selection = Selection(view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", lambda: 0.5, lambda _: None)
     taken = view.table.match("a", "/")
     assert selection.choose(taken, "pool", NO_PROMPT, (), 6.9) is None
     assert selection.choose(taken, "pool", NO_PROMPT, (), 7.1).instance == "i-1"
+
+
+def selection_of(view, crossing_s):
+    return Selection(view, ColdBudget(1.5, 5.0, "front-1"), "z-1", "r-1", lambda: 0.9, lambda _: crossing_s)
+
+
+def test_prompts_whose_shared_parts_take_longer_to_read_than_a_crossing_have_one_holder_in_all_regions():
+    view = View(ZONES, heartbeat_s=1.0, born=0.0)
+    document_ = document({"name": "r", "path_prefix": "/"})
+    servers = [server_item(record(f"i-{n}", "z-1" if n < 2 else "z-3"), 1) for n in range(6)]
+    view.apply([control_item(ControlView(1, 1, document_, ())), *servers], 0.0)
+    route = view.table.match("a.example", "/")
+    long = [Prompt(9000, 10, ((f"{n:x}", 8000), ("own", 1000))) for n in range(40)]
+    short = [Prompt(1100, 10, ((f"{n:x}", 100), ("own", 1000))) for n in range(40)]
+
+    def regions(selection, prompts):
+        return {selection.choose(route, "pool", prompt, (), 1.0).region for prompt in prompts}
+
+    selection = selection_of(view, crossing_s=0.1)
+    assert regions(selection, long) == {"r-1"}, "nothing is known yet of how fast prompts are read"
+    near = next(server for server in view.servers.of("pool") if server.region == "r-1")
+    selection.answered("pool", near, long[0], 0.025, 0.8, 1.0)  # 40,000 tokens a second: 0.2 s for 8,000
+    assert regions(selection, long) == {"r-1", "r-2"}
+    assert regions(selection, short) == {"r-1"}
+    holders = [selection.choose(route, "pool", prompt, (), 1.0) for prompt in long]
+    assert holders == [selection.choose(route, "pool", prompt, (), 1.0) for prompt in long]
+    for crossing_s in (0.5, None):
+        selection = selection_of(view, crossing_s)
+        selection.answered("pool", near, long[0], 0.025, 0.8, 1.0)
+        assert regions(selection, long) == {"r-1"}
+
+
+def test_the_rate_of_reading_is_that_of_the_quickest_answers_of_late():
+    rate = ReadingRate()
+    assert rate.seconds(1000) == 0.0
+    rate.learn(1000, 0.1)
+    rate.learn(1000, 3.0)
+    rate.learn(10, 0.0001)
+    assert 0.1 <= rate.seconds(1000) < 0.103
+    for _ in range(300):
+        rate.learn(1000, 0.5)
+    assert rate.seconds(1000) > 0.45
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -79,6 +79,7 @@
     "replication/opening.py",
     "replication/state.py",
     "routing/pick.py",
+    "routing/reading.py",
     "routing/selection.py",
     "routing/servers.py",
     "routing/table.py",
