Compress long frames between processes, announce stores to control processes alone

Change: frames of 400 bytes and more are compressed (zlib), with a bound on what they may grow to. Tests of frames, links and strange bytes.

--- a/fordtrestle/peer/connection.py
+++ b/fordtrestle/peer/connection.py
@@ -6,12 +6,15 @@
 import contextlib
 import socket
 import struct
+import zlib
 from collections.abc import Callable
 from typing import Any
 
 from fordtrestle.peer.codec import CodecError, decode, encode
 
 _LENGTH = struct.Struct(">I")
+_COMPRESSED = 1 << 31  # in the length: the payload is compressed (zlib)
+COMPRESS_LEAST = 400  # bytes
 FRAME_MOST = 32 * 1024 * 1024
 BUFFER_MOST = 8 * 1024 * 1024  # unsent bytes; beyond them the peer does not read and is given up
 PROBE_S = 0.4  # of silence of our own, then a probe
@@ -20,6 +23,26 @@
 _GONE = (OSError, EOFError, asyncio.IncompleteReadError, CodecError)
 
 
+def frame(payload: bytes) -> bytes:
+    """A payload as it is sent: long ones compressed, since bytes between regions are dear."""
+    if len(payload) < COMPRESS_LEAST:
+        return _LENGTH.pack(len(payload)) + payload
+    packed = zlib.compress(payload, 1)
+    return _LENGTH.pack(len(packed) | _COMPRESSED) + packed
+
+
+def inflate(packed: bytes) -> bytes:
+    """The payload of a compressed frame. `CodecError` where it is none, or too large."""
+    inflater = zlib.decompressobj()
+    try:
+        payload = inflater.decompress(packed, FRAME_MOST)
+    except zlib.error as error:
+        raise CodecError(str(error)) from error
+    if not inflater.eof:
+        raise CodecError(f"a frame of more than {FRAME_MOST} bytes, or cut short")
+    return payload
+
+
 class Connection:
     """Sends without waiting and hands over what comes. `run` returns when the connection has ended."""
 
@@ -39,11 +62,13 @@
         """The next message. Raises what `_GONE` lists, or `TimeoutError` after the peer's silence."""
         while True:
             async with asyncio.timeout(SILENCE_MOST_S):
-                length = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))[0]
+                head = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))[0]
+                length = head & ~_COMPRESSED
                 if length > FRAME_MOST:
                     raise CodecError(f"a frame of {length} bytes")
                 if length:
-                    return decode(await self._reader.readexactly(length))
+                    payload = await self._reader.readexactly(length)
+                    return decode(inflate(payload) if head & _COMPRESSED else payload)
 
     async def run(self, received: Callable[[Any], None]) -> None:
         """Hand over messages until the connection ends."""
@@ -69,7 +94,7 @@
         if transport.get_write_buffer_size() > BUFFER_MOST:
             self.close()
             return False
-        transport.write(_LENGTH.pack(len(payload)) + payload)
+        transport.write(frame(payload))
         self._sent_at = asyncio.get_running_loop().time()
         return True
 
--- a/fordtrestle/peer/replicator.py
+++ b/fordtrestle/peer/replicator.py
@@ -20,10 +20,18 @@
 class Replicator:
     """Timers, disk and links of one node. All of it on one event loop but for the disk."""
 
-    def __init__(self, node: Node, log: RecordLog, mesh: Mesh, changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        node: Node,
+        log: RecordLog,
+        mesh: Mesh,
+        is_control: Callable[[str], bool],
+        changed: Callable[[], None],
+    ) -> None:
         self.node = node
         self._log = log
         self._mesh = mesh
+        self._is_control = is_control  # whether a control process listens at HOST:PORT
         self._changed = changed
         self._queue: list[Effects] = []
         self._work = asyncio.Event()
@@ -80,7 +88,9 @@
             if now >= announce_at:
                 announce_at = now + ANNOUNCE_S
                 if syncing < TICK_S * 10:
-                    self._mesh.broadcast(self.node.announcement())
+                    for link in self._mesh.links():
+                        if self._is_control(link.peer):
+                            link.send(self.node.announcement())
             self.pump()
             await asyncio.sleep(TICK_S)
 
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -57,7 +57,9 @@
             draw=self.process.rng.random,
             now=asyncio.get_running_loop().time(),
         )
-        self.replicator = Replicator(self.node, log, self.process.mesh, self._changed)
+        self.replicator = Replicator(
+            self.node, log, self.process.mesh, self.process.is_control, self._changed
+        )
         self.heartbeats = Heartbeats(boot.node_name, boot.heartbeat_s)
         self._published = -1
         self._epoch = -1
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -98,6 +98,10 @@
             self.dial()
             self._watch()
 
+    def is_control(self, peer: str) -> bool:
+        """Whether a control process listens at that address: they all have the same port for others."""
+        return peer.endswith(f":{self.boot.internal_ports[0]}")
+
     def crossing_s(self, region: str) -> float | None:
         """The time there and back to a region, as links to its members came up; nothing while none has."""
         peers = [m.peer for m, _ in self.gossip.catalog.members() if m.region == region]
--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -63,7 +63,7 @@
         mesh = Mesh(Hello("core-1", "127.0.0.1:1"), lambda link, message: None, lambda link: None)
         me = MemberRecord("core-1", "control", "z-1", "r-1", "127.0.0.1:1", "", Availability.READY)
         self.gossip = Gossip(Catalog(), mesh, me, 1, lambda items: None)
-        self.replicator = Replicator(self.node, self.log, mesh, lambda: None)
+        self.replicator = Replicator(self.node, self.log, mesh, lambda peer: True, lambda: None)
         if founded:
             self.node.found(asyncio.get_running_loop().time())
 
--- /dev/null
+++ b/tests/peer/test_connection.py
@@ -0,0 +1,114 @@
+"""Frames between processes: what was sent comes, long ones compressed; what is none ends the connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import struct
+import zlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fordtrestle.dissemination.messages import Want
+from fordtrestle.peer import connection as connection_module
+from fordtrestle.peer.codec import CodecError, Hello, decode, encode
+from fordtrestle.peer.connection import Connection, frame, inflate
+from fordtrestle.peer.mesh import Mesh
+from fordtrestle.settings.boot import Address
+from tests.exchanges import loopback, until
+
+
+async def talk(serve):
+    """A connection to a server that handles one connection."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    return server, Connection(reader, writer)
+
+
+@loopback
+async def test_short_and_long_messages_come_as_they_were_sent():
+    messages = [Want(("a",)), Want(tuple(f"server/i-{n}" for n in range(500))), Hello("n", "p")]
+    received = []
+
+    async def serve(reader, writer):
+        await Connection(reader, writer).run(received.append)
+
+    server, connection = await talk(serve)
+    assert all(connection.send(message) for message in messages)
+    await until(lambda: len(received) == len(messages))
+    assert received == messages
+    connection.close()
+    server.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x00\x00\x01x",  # no CBOR
+        encode(Want(("a",)))[:-1],  # no frame
+        struct.pack(">I", (1 << 31) | 3) + b"abc",  # not compressed
+        struct.pack(">I", connection_module.FRAME_MOST + 1),
+    ],
+)
+@loopback
+async def test_what_is_no_frame_ends_the_connection(data):
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await Connection(reader, writer).run(lambda message: None)
+        ended.set()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    writer.write(data)
+    writer.write_eof()
+    await ended.wait()
+    server.close()
+
+
+def test_a_frame_that_would_grow_too_large_is_refused(monkeypatch):
+    monkeypatch.setattr(connection_module, "FRAME_MOST", 1000)
+    with pytest.raises(CodecError):
+        inflate(zlib.compress(bytes(2000)))
+    with pytest.raises(CodecError):
+        inflate(zlib.compress(bytes(500))[:-3])
+
+
+@given(st.binary(max_size=2000))
+def test_frames_hold_what_was_put_in(payload):
+    head = struct.unpack(">I", frame(payload)[:4])[0]
+    body = frame(payload)[4:]
+    assert (inflate(body) if head >> 31 else body) == payload
+    assert len(body) == head & 0x7FFFFFFF
+
+
+@given(st.binary(max_size=200))
+def test_strange_bytes_are_refused_as_such(data):
+    with contextlib.suppress(CodecError):
+        decode(data)
+
+
+@loopback
+async def test_processes_link_up_and_notice_that_one_has_gone():
+    received = []
+
+    def made(name):
+        return Mesh(
+            Hello(name, ""), lambda link, message: received.append((link.node, message)), lambda _: None
+        )
+
+    one, other = made("one"), made("other")
+    await other.listen(Address("127.0.0.1", 0))
+    port = other._server.sockets[0].getsockname()[1]
+    one.dial([f"127.0.0.1:{port}"])
+    await until(lambda: one.links() and other.links())
+    assert one.round_trips[f"127.0.0.1:{port}"] < 1.0
+    one.broadcast(Want(("a",)))
+    other.link("one").send(Want(("b",)))
+    await until(lambda: len(received) == 2)
+    assert sorted(received, key=str) == [("one", Want(("a",))), ("other", Want(("b",)))]
+    await one.close()
+    await until(lambda: not other.links())
+    await other.close()
