--- a/fordtrestle/peer/mesh.py
+++ b/fordtrestle/peer/mesh.py
@@ -11,7 +11,7 @@
 from fordtrestle.settings.boot import Address
 
 DIAL_S = 0.8
-REDIAL_S = 0.3
+REDIAL_LEAST_S, REDIAL_MOST_S = 0.1, 0.5  # between dials, longer with each that failed
 HELLO_S = 2.0
 CLOSE_S = 0.5  # for accepted connections to notice that they were closed
 LINKS_MOST = 2048  # connections that others have opened
@@ -113,6 +113,7 @@
 
     async def _keep_dialled(self, address: str) -> None:
         where = Address.parse(address)
+        pause = REDIAL_LEAST_S
         while True:
             try:
                 began = asyncio.get_running_loop().time()
@@ -124,12 +125,14 @@
                     connection.send(self._me)
                     async with asyncio.timeout(HELLO_S):
                         hello = await connection.receive()
+                    pause = REDIAL_LEAST_S
                     await self._run(hello, connection)
                 finally:
                     connection.close()
             except _FAILED:
                 pass
-            await asyncio.sleep(REDIAL_S)
+            await asyncio.sleep(pause)
+            pause = min(REDIAL_MOST_S, 1.5 * pause)
 
     def _note_round_trip(self, address: str, took_s: float) -> None:
         """A connection came up after one round trip, and whatever delayed it."""
