--- a/tests/replication/test_exhaustive.py
+++ b/tests/replication/test_exhaustive.py
@@ -1,8 +1,8 @@
 """All interleavings of a few steps of three stores, from the moment in which a write is proposed.
 
-A step syncs one store's oldest records, delivers the oldest message of one link, cuts a store's power (what was
-not synced is gone), starts it again, wipes its disk, or lets a store miss its primary. States that were met before
-are not gone on from.
+A step syncs one store's oldest records, delivers the oldest message of one link, cuts a store's power (what
+was not synced is gone), starts it again, wipes its disk, or lets a store miss its primary. States that were
+met before are not gone on from.
 """
 
 from __future__ import annotations
