--- a/fordtrestle/dissemination/suspicion.py
+++ b/fordtrestle/dissemination/suspicion.py
@@ -9,10 +9,11 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
-from fordtrestle.dissemination.rendezvous import ranked
+from fordtrestle.dissemination.rendezvous import weight
 
 WATCHERS = 3
 SUSPECT_S = 4.0  # without a link, then others are asked
@@ -22,7 +23,8 @@
 
 def watchers(node: str, nodes: Iterable[str]) -> list[str]:
     """Who watches a node; the same everywhere."""
-    return ranked(node, (other for other in nodes if other != node))[:WATCHERS]
+    others = (other for other in nodes if other != node)
+    return heapq.nlargest(WATCHERS, others, key=lambda other: weight(node, other))
 
 
 @dataclass(slots=True)
@@ -39,21 +41,24 @@
     down: tuple[str, ...] = ()
 
 
+def watched_by(me: str, nodes: Collection[str]) -> set[str]:
+    """The nodes that one of them is to watch."""
+    return {node for node in nodes if node != me and me in watchers(node, nodes)}
+
+
 @dataclass(slots=True)
 class Suspicion:
     """One process's watches. Times are s of a steady clock."""
 
-    me: str
     _watches: dict[str, _Watch] = field(default_factory=dict)
 
-    def tick(self, nodes: Collection[str], linked: Collection[str], now: float) -> Steps:
-        """Go on with the watches; `nodes` are all that are held to be up, `linked` those with a link."""
-        mine = {node for node in nodes if node != self.me and self.me in watchers(node, nodes)}
+    def tick(self, mine: Collection[str], linked: Collection[str], now: float) -> Steps:
+        """Go on with the watches; `mine` are the nodes to watch, `linked` those with a link."""
         for node in list(self._watches):
             if node not in mine or node in linked:
                 del self._watches[node]
         ask, down = [], []
-        for node in sorted(mine - set(linked)):
+        for node in sorted(set(mine) - set(linked)):
             watch = self._watches.setdefault(node, _Watch(now))
             if watch.asked_at is None and now - watch.missed_since >= SUSPECT_S:
                 watch.asked_at = now
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -19,7 +19,7 @@
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import MEMBER_PREFIX, Availability, Item, MemberRecord, member_item
 from fordtrestle.dissemination.messages import GossipMessage, HasLink, Vouch
-from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, watchers
+from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, watched_by
 from fordtrestle.peer.codec import Hello
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
@@ -29,6 +29,10 @@
 SIDECAR_ROLE = "sidecar"
 CONTROLS_MOST = 9
 DIAL_S = 1.0
+REDRAW_S = (
+    5.0  # between draws of who watches whom, where they are many: each costs the square of their number
+)
+NODES_FEW = 64
 EXIT_FAILED, EXIT_BAD_INPUT = 1, 2
 
 
@@ -60,7 +64,8 @@
         self.gossip = Gossip(Catalog(), self.mesh, me, incarnation, self._changed)
         self._nodes: set[str] = set()  # members, as the watches were last drawn among them
         self._watched: set[str] = set()
-        self._suspicion = Suspicion(boot.node_name)
+        self._drawn_at = 0.0
+        self._suspicion = Suspicion()
         self._settings = file_bytes()
         self.on_items: Callable[[list[Item]], None] = lambda items: None
         self.on_message: Callable[[Any], None] = lambda message: None
@@ -85,9 +90,11 @@
         controls = {peer_address(self.boot, seed.host, CONTROL_ROLE) for seed in self.boot.seeds}
         controls.update(sorted(m.peer for m in members if m.role == CONTROL_ROLE)[:CONTROLS_MOST])
         nodes = {member.node for member in members}
-        if nodes != self._nodes:
-            self._nodes = nodes
-            self._watched = {n for n in nodes if self.boot.node_name in watchers(n, nodes)}
+        now = asyncio.get_running_loop().time()
+        may_redraw = len(nodes) <= NODES_FEW or now - self._drawn_at >= REDRAW_S
+        if nodes != self._nodes and may_redraw:
+            self._nodes, self._drawn_at = nodes, now
+            self._watched = watched_by(self.boot.node_name, nodes)
         self.mesh.dial(controls | {member.peer for member in members if member.node in self._watched})
 
     async def keep_dialling(self) -> None:
@@ -129,8 +136,7 @@
     def _watch(self) -> None:
         """Tell of members that have gone, once others were asked about them too."""
         catalog = self.gossip.catalog
-        up = {m.node for m, _ in catalog.members() if m.availability is not Availability.DOWN}
-        steps = self._suspicion.tick(up, self.in_touch(), asyncio.get_running_loop().time())
+        steps = self._suspicion.tick(self._watched, self.in_touch(), asyncio.get_running_loop().time())
         for node in steps.ask:
             for link in self.rng.sample(self.mesh.links(), min(ASKED_MOST, len(self.mesh.links()))):
                 link.send(HasLink(node))
