Bound requests and bodies that a sidecar holds; refuse what comes too late

Change: half of the descriptors, a quarter of the memory, beyond them 503 before more is read. Tests of both.

--- a/fordtrestle/ingress/answers.py
+++ b/fordtrestle/ingress/answers.py
@@ -17,6 +17,13 @@
     return answer(503, request_id, reason, headers)
 
 
+def no_room(request_id: str, rng: random.Random) -> web.Response:
+    """This sidecar holds as much as it may; the request was not read whole and has not run."""
+    response = refused(request_id, 1.0, rng, "no room for more requests")
+    response.force_close()
+    return response
+
+
 def unknown_route(request_id: str) -> web.Response:
     """No configuration in force has such a route."""
     return answer(404, request_id, "no such route")
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -112,7 +112,7 @@
             return self._give_up(answers.unknown_route(inbound.request_id))
         deadline = inbound.arrived + self._has_s(route.timeout_s)
         if now >= deadline:
-            return answers.overdue(inbound.request_id)
+            return self._refuse(route.target_s, "the time is up")
         callee = route.backend(shared.rng.random)
         if not self._admit(callee, now):
             return self._refuse(route.target_s, "too many requests are turned away")
--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -20,6 +21,7 @@
 HEAD_MOST = 64 * 1024  # bytes of a line or field; what the configuration allows lies below
 IDLE_S = 60.0  # that an unused connection is kept at least: longer than any client rests
 BACKLOG = 1024
+BYTES_PER_MB = 1_000_000
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -33,11 +35,29 @@
     return _Request(message, payload, protocol, writer, task, asyncio.get_running_loop(), client_max_size=0)
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a front holds at most: requests, and bytes of their bodies."""
+
+    requests: int
+    body_bytes: int
+
+    @classmethod
+    def of(cls, max_fds: int, memory_mb: float) -> Bounds:
+        """Half of the descriptors, since each request has one here and one at a server; a quarter of the memory.
+
+        Bodies are held until their answers, for second sends.
+        """
+        return cls(max(1, max_fds // 2), int(memory_mb * BYTES_PER_MB / 4))
+
+
 class Front:
     """Serves clients until it is closed."""
 
-    def __init__(self, decisions: Decisions) -> None:
+    def __init__(self, decisions: Decisions, bounds: Bounds) -> None:
         self._decisions = decisions
+        self._bounds = bounds
+        self._body_bytes = 0  # held now
         self._server = web.Server(
             self._handle,
             request_factory=_make_request,
@@ -94,13 +114,40 @@
         request_id = request.headers.get(REQUEST_ID, "")
         table = self._decisions.view.table
         limits = table.limits if table else Limits()
+        told = request.content_length or 0
+        if told > limits.max_body_bytes:
+            return answers.too_large(request_id)
+        room = self._bounds.body_bytes - self._body_bytes
+        if self.open_requests > self._bounds.requests or told > room:
+            return answers.no_room(request_id, self._decisions.rng)
+        held = told
+        self._body_bytes += held
+        try:
+            body = await self._body(request, limits, room)
+            if isinstance(body, web.Response):
+                return body
+            self._body_bytes += len(body) - held
+            held = len(body)
+            return await self._exchange(request, body, arrived)
+        finally:
+            self._body_bytes -= held
+
+    async def _body(self, request: web.BaseRequest, limits: Limits, room: int) -> bytes | web.Response:
+        """The whole body, or the answer to one that is too late, too large, or more than there is room for."""
+        request_id = request.headers.get(REQUEST_ID, "")
         try:
             async with asyncio.timeout(limits.header_timeout_s):
-                body = await _read(request, limits.max_body_bytes)
+                body = await _read(request, min(limits.max_body_bytes, room))
         except TimeoutError:
             return answers.body_late(request_id)
-        if body is None:
-            return answers.too_large(request_id)
+        if body is not None:
+            return body
+        if room < limits.max_body_bytes:
+            return answers.no_room(request_id, self._decisions.rng)
+        return answers.too_large(request_id)
+
+    async def _exchange(self, request: web.BaseRequest, body: bytes, arrived: float) -> web.StreamResponse:
+        request_id = request.headers.get(REQUEST_ID, "")
         inbound = Inbound(
             method=request.method,
             host=request.headers.get("Host", ""),
@@ -118,8 +165,6 @@
 
 async def _read(request: web.BaseRequest, most: int) -> bytes | None:
     """The whole body; nothing where it is larger than allowed."""
-    if (request.content_length or 0) > most:
-        return None
     if request.headers.get("Expect", "").lower() == "100-continue" and request.transport:
         request.transport.write(_CONTINUE)
     if not request.can_read_body:
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -13,7 +13,7 @@
 from fordtrestle.forward.client import Forwarder
 from fordtrestle.ingress.directory import TTL_S
 from fordtrestle.ingress.exchange import Decisions
-from fordtrestle.ingress.server import Front, Readiness
+from fordtrestle.ingress.server import Bounds, Front, Readiness
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http
 from fordtrestle.roles.process import main as run_role
@@ -45,7 +45,7 @@
         forwarder=Forwarder(),
         rng=process.rng,
     )
-    front = Front(decisions)
+    front = Front(decisions, Bounds.of(boot.max_fds, boot.memory_mb))
 
     def changed(items: list[Item]) -> None:
         view.apply(items, loop.time())
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -13,7 +13,7 @@
 from fordtrestle.dissemination.items import ControlView, Phase, ServerRecord, control_item, server_item
 from fordtrestle.forward.client import Forwarder
 from fordtrestle.ingress.exchange import Decisions
-from fordtrestle.ingress.server import Front
+from fordtrestle.ingress.server import Bounds, Front
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
@@ -117,7 +117,7 @@
             forwarder=Forwarder(),
             rng=random.Random(1),
         )
-        self.front = Front(self.decisions)
+        self.front = Front(self.decisions, Bounds(requests=100, body_bytes=1_000_000))
 
     def configure(self, *routes, services=None, evacuated=()):
         """Put a configuration in force."""
--- a/tests/ingress/test_exchanges.py
+++ b/tests/ingress/test_exchanges.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fordtrestle.ingress.server import Bounds
 from tests.exchanges import Client, approved, loopback, request, until
 from tests.ingress.stage import Stage, StandIn, failure, ok, route
 
@@ -328,6 +329,25 @@
         assert approved(client, chunked) == snapshot
 
 
+@pytest.mark.parametrize("bounds", [Bounds(0, 1_000_000), Bounds(100, 4)])
+@loopback
+async def test_a_front_that_holds_as_much_as_it_may_refuses_before_it_reads_more(bounds):
+    async with StandIn(ok()) as server, Stage(route()) as stage, Client(stage.port) as client:
+        stage.add(server)
+        stage.front._bounds = bounds
+        answer = await client.exchange(call())
+        assert answer.startswith("HTTP/1.1 503") and "Retry-After" in answer
+        assert not server.requests and stage.front._body_bytes == 0
+
+
+@loopback
+async def test_a_request_that_comes_too_late_is_refused_with_the_promise_that_it_has_not_run():
+    async with StandIn(ok()) as server, Stage(route()) as stage, Client(stage.port) as client:
+        stage.add(server)
+        answer = await client.exchange(request("POST", "/a/x", "", X_Request_Id="q1", X_Deadline_Ms="0"))
+        assert answer.startswith("HTTP/1.1 503") and not server.requests
+
+
 @loopback
 async def test_a_leaving_sidecar_answers_and_says_that_it_closes():
     async with StandIn(ok()) as server, Stage(route()) as stage, Client(stage.port) as client:
