--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -44,7 +44,7 @@
 
     @classmethod
     def of(cls, max_fds: int, memory_mb: float) -> Bounds:
-        """Half of the descriptors, since each request has one here and one at a server; a quarter of the memory.
+        """Half of the descriptors, as a request has one here and one at a server; a quarter of the memory.
 
         Bodies are held until their answers, for second sends.
         """
@@ -133,7 +133,7 @@
             self._body_bytes -= held
 
     async def _body(self, request: web.BaseRequest, limits: Limits, room: int) -> bytes | web.Response:
-        """The whole body, or the answer to one that is too late, too large, or more than there is room for."""
+        """The whole body, or the answer to one that is too late, too large or without room."""
         request_id = request.headers.get(REQUEST_ID, "")
         try:
             async with asyncio.timeout(limits.header_timeout_s):
