Count time-outs fully once answers are 1.4 times as slow, and rows of one to four

Change: full at SLOW (1.4 times the usual, where the module holds that a crowd begins), and a row of four without an answer is a crowd, one is chance.

All tests of the module pass, those of a third lost and of lost answers among them.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -53,7 +53,7 @@
 CROWDED = 2.0
 CROWDED_POWER = 3.0
 UNANSWERED = 8.0  # times the usual that what is turned away counts as; what is out past its aim, at the most
-ROW_CHANCE, ROW_CROWD = 2.0, 6.0  # out past their aims in a row: a few are chance, many a crowd
+ROW_CHANCE, ROW_CROWD = 1.0, 4.0  # out past their aims in a row: a few are chance, many a crowd
 SLOWDOWN_GAIN = 0.1  # weight of the newest outcome
 SLOWDOWN_MS = 2000.0  # it weighs more where outcomes are few: what was is forgotten in so long
 SILENCE_MS = 500.0  # with no outcome for longer, a crowd is doubted: a refusal tells nothing
@@ -254,7 +254,7 @@
         """Take in what is out past its aim: it weighs as the answers that come are slow, or as none come."""
         self._row += 1
         row = (self._row - ROW_CHANCE) / (ROW_CROWD - ROW_CHANCE)
-        crowd = min(1.0, max((self._answers - 1.0) / (CROWDED - 1.0), row))
+        crowd = min(1.0, max((self._answers - 1.0) / (SLOW - 1.0), row))
         self.learn(now, 1.0 + (UNANSWERED - 1.0) * crowd)
 
     def slowdown(self, now: float) -> float:
