--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -27,7 +27,7 @@
 
 FULL_STATUSES = (429, 503)
 MISDIRECTED = 421
-FELLOWS_UNKNOWN = 1000  # sidecars that share a budget, while it is not known how many
+PEERS_UNKNOWN = 1000  # sidecars that share a budget, while it is not known how many
 SENDS_MOST = 4  # of one request, those that servers rejected included
 UNREACHABLE_MOST = 4  # servers that a request may find unreachable before it is refused
 NO_CONFIGURATION_S = 5.0  # that a request is taken to have where its route is not known
@@ -126,7 +126,7 @@
     def _may_send_again(self, callee: str, now: float) -> bool:
         """Whether this sidecar's part of the budget of second sends has room, and count it if so."""
         view = self._shared.view
-        sidecars = len(view.sidecars) if view.knows_fellows(now) else FELLOWS_UNKNOWN
+        sidecars = len(view.sidecars) if view.knows_peers(now) else PEERS_UNKNOWN
         return self._shared.retries.allows(callee, sidecars, now)
 
     def _has_s(self, at_most: float) -> float:
--- a/fordtrestle/peer/replicator.py
+++ b/fordtrestle/peer/replicator.py
@@ -120,9 +120,9 @@
                 await asyncio.to_thread(write, list(map(encode, records)))
                 break
             except StorageError:
-                # The disk is full or refuses writes: nothing is said until one image of all has been taken.
+                # The disk is full or refuses writes: nothing is said until a snapshot has been taken.
                 await asyncio.sleep(DISK_RETRY_S)
-                records, write = list(self.node.durable.image()), self._log.rewrite
+                records, write = list(self.node.durable.snapshot()), self._log.rewrite
         self._syncing_since = None
 
     def _deliver(self, receiver: str, message: Message) -> None:
--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch
-from fordtrestle.replication.messages import Entry, Image, Record, Vote
+from fordtrestle.replication.messages import Entry, Record, Snapshot, Vote
 from fordtrestle.replication.state import Change, ControlState
 
 
@@ -31,7 +31,7 @@
             if isinstance(record, Vote):
                 found = found or cls(record.store)
                 found.promised, found.accepted = record.promised, record.accepted
-            elif found and isinstance(record, Image):
+            elif found and isinstance(record, Snapshot):
                 found.installed, found.state = record.ballot, record.state
             elif found and isinstance(record, Entry):
                 found.state = found.state.apply(record.change)
@@ -42,9 +42,9 @@
         """Whether this store has never taken part in anything."""
         return self.accepted is None and self.promised == NO_BALLOT
 
-    def image(self) -> Sequence[Record]:
+    def snapshot(self) -> Sequence[Record]:
         """The fewest records that restore this store."""
-        return [self._vote(), Image(self.installed, self.state)]
+        return [self._vote(), Snapshot(self.installed, self.state)]
 
     def promise(self, ballot: Ballot) -> Sequence[Record] | None:
         """Promise a ballot; nothing where a newer one was promised."""
@@ -83,7 +83,7 @@
         if records is None or (ballot == self.installed and state.sequence < self.state.sequence):
             return None
         self.installed, self.state = ballot, state
-        return [*records, Image(ballot, state)]
+        return [*records, Snapshot(ballot, state)]
 
     def append(self, ballot: Ballot, sequence: int, change: Change) -> Sequence[Record] | None:
         """Take one write of the epoch that this state was installed for; nothing where it does not fit."""
@@ -99,7 +99,7 @@
         records: list[Record] = [self._vote()]
         if self.store in epoch.replicas and epoch.kept == (self.installed, self.state.sequence):
             self.installed = epoch.ballot
-            records.append(Image(self.installed, self.state))
+            records.append(Snapshot(self.installed, self.state))
         return records
 
     def _vote(self) -> Vote:
--- a/fordtrestle/replication/messages.py
+++ b/fordtrestle/replication/messages.py
@@ -33,14 +33,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Canvass:
+class PreVote:
     """A replica misses its primary: would a prepare be heeded?"""
 
     round: int
 
 
 @dataclass(frozen=True, slots=True)
-class CanvassAck:
+class PreVoteGrant:
     """The witness misses the primary as well; `promised` is the ballot to exceed."""
 
     round: int
@@ -126,8 +126,8 @@
     Announce
     | Heartbeat
     | HeartbeatAck
-    | Canvass
-    | CanvassAck
+    | PreVote
+    | PreVoteGrant
     | Prepare
     | Promised
     | Install
@@ -150,7 +150,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Image:
+class Snapshot:
     """On disk: the whole state, as of the ballot under which it was installed."""
 
     ballot: Ballot
@@ -159,11 +159,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """On disk: one write behind the image or entry before it."""
+    """On disk: one write behind the snapshot or entry before it."""
 
     ballot: Ballot
     sequence: int
     change: Change
 
 
-Record = Vote | Image | Entry
+Record = Vote | Snapshot | Entry
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -27,7 +27,7 @@
 REPEAT_S = 0.4
 OPENING_MOST_S = 2.5  # an opening that takes longer is begun anew
 STALLED_S = 0.6  # a sync that takes longer: the primary falls silent, so that another takes over
-REWRITE_ENTRIES = 256  # entries behind an image before the file is rewritten
+REWRITE_ENTRIES = 256  # entries behind a snapshot before the file is rewritten
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,9 +75,9 @@
         self._opening: Opening | None = None
         self._heartbeat_at = self._election_at = self._repeat_at = now
         self._round = 0  # of heartbeats, as primary
-        self._canvass: set[str] | None = None
-        self._canvass_round = 0
-        self._canvass_newest = NO_BALLOT
+        self._prevotes: set[str] | None = None
+        self._prevote_round = 0
+        self._newest_ballot = NO_BALLOT
         self._entries = 0
         self._heard_primary = now
         self._primary_lost = ""  # a primary whose machine holds another store by now
@@ -154,7 +154,7 @@
         """What is to be synced and then sent."""
         effects, self._effects = self._effects, Effects()
         if self._entries >= REWRITE_ENTRIES and effects.records:
-            effects.records, effects.rewrite = list(self.durable.image()), True
+            effects.records, effects.rewrite = list(self.durable.snapshot()), True
             self._entries = 0
         return effects
 
@@ -167,7 +167,7 @@
             if not stalled:
                 self._tend_epoch(self._leadership, now)
         elif not stalled and now >= self._election_at:
-            self._ask_for_election(now)
+            self._start_prevote(now)
         if not (self._opening or stalled) and now >= self._heartbeat_at:
             self._beat(now)
 
@@ -181,10 +181,10 @@
                 self._take_heartbeat(sender, message, now)
             case wire.HeartbeatAck():
                 self._take_heartbeat_ack(sender, message, now)
-            case wire.Canvass():
-                self._answer_canvass(sender, message, now)
-            case wire.CanvassAck():
-                self._take_canvass_ack(sender, message, now)
+            case wire.PreVote():
+                self._answer_prevote(sender, message, now)
+            case wire.PreVoteGrant():
+                self._take_prevote_grant(sender, message, now)
             case wire.Rejected():
                 self._take_rejection(message, now)
             case wire.Appended():
@@ -305,7 +305,7 @@
         if self._returning:
             wait = RETURN_S
         self._election_at = now + wait
-        self._canvass = None
+        self._prevotes = None
 
     def _notice_lost_primary(self, store: Store, now: float) -> None:
         """Another store in the primary's machine: its disk was lost, and waiting for it is in vain."""
@@ -317,28 +317,28 @@
             self._primary_lost = primary.id
             self._election_at = min(self._election_at, now + ELECTION_JITTER_S * self._draw())
 
-    def _ask_for_election(self, now: float) -> None:
+    def _start_prevote(self, now: float) -> None:
         accepted = self.durable.accepted
         self._miss(now)
         if not (accepted and self.me.id in accepted.replicas):
             return
-        self._canvass, self._canvass_newest = set(), self.durable.promised
-        self._canvass_round += 1
+        self._prevotes, self._newest_ballot = set(), self.durable.promised
+        self._prevote_round += 1
         for witness in sorted({store_id for quorum in accepted.quorums for store_id in quorum}):
-            self._send(witness, wire.Canvass(self._canvass_round))
+            self._send(witness, wire.PreVote(self._prevote_round))
 
-    def _answer_canvass(self, sender: str, message: wire.Canvass, now: float) -> None:
+    def _answer_prevote(self, sender: str, message: wire.PreVote, now: float) -> None:
         accepted = self.durable.accepted
         itself = accepted is not None and accepted.primary == sender  # it has started anew
         lost = accepted is not None and accepted.primary == self._primary_lost
         misses = sender == self.me.id or itself or lost or now - self._heard_primary > ELECTION_S
         if misses and not (self._leadership and sender != self.me.id):
-            answer = wire.CanvassAck(message.round, self.durable.promised, self.durable.accepted)
+            answer = wire.PreVoteGrant(message.round, self.durable.promised, self.durable.accepted)
             self._send(sender, answer)
 
-    def _take_canvass_ack(self, sender: str, message: wire.CanvassAck, now: float) -> None:
+    def _take_prevote_grant(self, sender: str, message: wire.PreVoteGrant, now: float) -> None:
         accepted = self.durable.accepted
-        if self._canvass is None or message.round != self._canvass_round or accepted is None:
+        if self._prevotes is None or message.round != self._prevote_round or accepted is None:
             return
         if message.accepted:
             self._write(self.durable.settle(message.accepted))
@@ -346,14 +346,14 @@
             self._miss(now)
             return
         accepted = self.durable.accepted or accepted
-        self._canvass.add(sender)
-        self._canvass_newest = max(self._canvass_newest, message.promised)
-        if supported(self._canvass, accepted.quorums):
-            self._canvass = None
+        self._prevotes.add(sender)
+        self._newest_ballot = max(self._newest_ballot, message.promised)
+        if supported(self._prevotes, accepted.quorums):
+            self._prevotes = None
             self._open(accepted, accepted.witnesses, now)
 
     def _open(self, base: Epoch, witnesses: tuple[Store, ...], now: float) -> None:
-        newest = max(self.durable.promised, self._canvass_newest, base.ballot)
+        newest = max(self.durable.promised, self._newest_ballot, base.ballot)
         ballot = Ballot(newest.number + 1, self.me.id)
         self._opening = Opening(self.me, ballot, base, witnesses, self._replicas, began=now)
         self._repeat_at = now + REPEAT_S
@@ -398,7 +398,7 @@
 
     def _take_rejection(self, message: wire.Rejected, now: float) -> None:
         """A newer ballot is about: stand back, or exceed it at the next try."""
-        self._canvass_newest = max(self._canvass_newest, message.promised)
+        self._newest_ballot = max(self._newest_ballot, message.promised)
         if self._opening and message.ballot == self._opening.ballot:
             self._opening = None
             self._step_down(now)
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -36,7 +36,7 @@
             if durable:
                 return durable
             durable = Durable(secrets.token_hex(STORE_ID_BYTES))
-            await asyncio.to_thread(log.append, [encode(record) for record in durable.image()])
+            await asyncio.to_thread(log.append, [encode(record) for record in durable.snapshot()])
             return durable
         except StorageError as error:
             eliot.log_message("control:disk-refuses", reason=repr(error.__cause__))
--- a/fordtrestle/routing/selection.py
+++ b/fordtrestle/routing/selection.py
@@ -67,7 +67,7 @@
     ) -> None:
         """Learn how long a server's answer began to come after the send."""
         is_near = server.region == self._region
-        server.began(waited_s / target_s, now)
+        server.record_delay(waited_s / target_s, now)
         self._spill(callee).learn(is_near, waited_s / target_s)
         if is_near and prompt.own:
             self._rate(callee).learn(prompt.own, waited_s)
@@ -105,7 +105,7 @@
 
         One that has just started does not know among how many the rate is shared, and sends none.
         """
-        if not self._view.knows_fellows(now):
+        if not self._view.knows_peers(now):
             return False
         return self._cold.allows(server.instance, rate, self._view.sidecars, now)
 
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -54,7 +54,7 @@
         """It has answered something."""
         self.failures = 0
 
-    def began(self, delay: float, now: float) -> None:
+    def record_delay(self, delay: float, now: float) -> None:
         """An answer began so late, in shares of its objective."""
         recent = self.lateness(now)
         self.delay, self.delay_at = recent + DELAY_GAIN * (delay - recent), now
@@ -96,7 +96,7 @@
         server.take(record, version, now)
         self._by_service.setdefault(record.service, {})[record.instance] = server
 
-    def chill(self, zones: Collection[str], until: float) -> None:
+    def mark_cold(self, zones: Collection[str], until: float) -> None:
         """Hold the servers of these zones to be cold until then at least."""
         for server in self._servers.values():
             if server.record.zone in zones:
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -14,7 +14,7 @@
 
 SIDECAR_ROLE = "sidecar"
 DOWN_S = 120.0
-ACQUAINTED_S = 2.0
+PEERS_KNOWN_S = 2.0
 HEARTBEATS_OF_DOUBT = 1.5  # for which servers that were out of use are held to be cold
 
 
@@ -57,16 +57,16 @@
                 del self._down_since[node]
                 self.sidecars.discard(node)
 
-    def knows_fellows(self, now: float) -> bool:
+    def knows_peers(self, now: float) -> bool:
         """Whether this process has been there for long enough to know who shares the fleet's budgets."""
-        return now - self._born >= ACQUAINTED_S
+        return now - self._born >= PEERS_KNOWN_S
 
     def _follow(self, control: ControlView, now: float) -> None:
         taken_back = self.evacuated.difference(control.evacuated)
         self.evacuated = frozenset(control.evacuated)
         if taken_back:
             # They may have turned cold shortly before; their next heartbeats tell.
-            self.servers.chill(taken_back, now + HEARTBEATS_OF_DOUBT * self._heartbeat_s)
+            self.servers.mark_cold(taken_back, now + HEARTBEATS_OF_DOUBT * self._heartbeat_s)
         if control.document and control.generation != self.generation:
             self.table = parse_table(control.document)
             self.generation = control.generation
--- a/tests/replication/test_exhaustive.py
+++ b/tests/replication/test_exhaustive.py
@@ -78,7 +78,7 @@
     parts = [str(world.pending), str([write.acknowledged for write in world.writes])]
     for machine in world.machines:
         node = machine.node
-        inner = node and (node.durable, node.is_primary, node.is_ready, node._opening, node._canvass)
+        inner = node and (node.durable, node.is_primary, node.is_ready, node._opening, node._prevotes)
         parts.append(f"{machine.disk}{machine.queue}{inner}{machine.wiped}")
     return "|".join(parts)
 
--- a/tests/replication/test_hard_cases.py
+++ b/tests/replication/test_hard_cases.py
@@ -70,7 +70,7 @@
     script = Script()
     a, b, c = script.a, script.b, script.c
     base = b.node.durable.accepted
-    b.node._canvass_newest = Ballot(base.ballot.number, "")
+    b.node._newest_ballot = Ballot(base.ballot.number, "")
     b.node._open(base, base.witnesses, b.now)
     b.node._opening.ballot = newer = Ballot(base.ballot.number + 1, "z" + b.node.me.id)
     b.node._effects.messages = [(store, wire.Prepare(newer)) for store, _ in b.node._effects.messages]
@@ -122,7 +122,7 @@
                 script.deliver(envelope)
     while b.queue:
         script.sync(b)
-    a.node._canvass_newest = b.node.durable.promised
+    a.node._newest_ballot = b.node.durable.promised
     script.candidate(a, c)
     script.acknowledge(a, c)
     script.pending = late
@@ -138,7 +138,7 @@
     """
     script = Script()
     a, b, c = script.a, script.b, script.c
-    b.node._canvass_newest = a.node.durable.promised
+    b.node._newest_ballot = a.node.durable.promised
     script.candidate(b, c)
     script.flow(b, c)
     script.acknowledge(a, b)
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -85,7 +85,7 @@
         durable = Durable.restore(machine.disk)
         if durable is None:
             durable = self.new_store(machine)
-            machine.disk = list(durable.image())
+            machine.disk = list(durable.snapshot())
         store = Store(durable.store, machine.address, machine.address, machine.address)
         machine.queue = []
         machine.node = Node(
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -193,8 +193,8 @@
     draw = random.Random(1).random
     servers = known(0, 2)
     for _ in range(20):
-        servers[0].began(2.0, 0.0)
-        servers[1].began(0.4, 0.0)
+        servers[0].record_delay(2.0, 0.0)
+        servers[1].record_delay(0.4, 0.0)
     assert pick(servers, NO_PROMPT, (), 0.0, draw) is servers[1]
     assert pick(servers, NO_PROMPT, (), 30.0, draw) is servers[0]
 
