Restore no write twice after a disk that refused

Found on reading: where the disk refuses records, the whole state is written in their place once it takes some again. That state may hold writes whose own records still wait behind, which were then appended too, and applied twice at the next start: the sequence ran ahead of what other replicas hold, and a change of configuration was numbered anew.

Change: an entry is restored only where it follows the state. The test of a refused append with another one behind it is red without; another shows that nothing is committed before its sync.

--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -33,7 +33,8 @@
                 found.promised, found.accepted = record.promised, record.accepted
             elif found and isinstance(record, Snapshot):
                 found.installed, found.state = record.ballot, record.state
-            elif found and isinstance(record, Entry):
+            elif found and isinstance(record, Entry) and record.sequence == found.state.sequence + 1:
+                # A snapshot that was written in the place of refused records may hold later entries already.
                 found.state = found.state.apply(record.change)
         return found
 
--- /dev/null
+++ b/tests/peer/test_replicator.py
@@ -0,0 +1,108 @@
+"""The disk under a node: nothing is told before it is synced, nothing it refuses is lost or doubled."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import threading
+
+import pytest
+
+from fordtrestle.peer import replicator as replicator_module
+from fordtrestle.peer.codec import Hello, decode
+from fordtrestle.peer.mesh import Mesh
+from fordtrestle.peer.replicator import Replicator
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.epochs import Store
+from fordtrestle.replication.node import Node
+from fordtrestle.replication.state import Evacuation
+from fordtrestle.storage.log import RecordLog, StorageError
+from tests.exchanges import loopback, until
+
+
+class Disk(RecordLog):
+    """A log whose appends wait for a word, and are refused a number of times."""
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.refusals = 0
+        self.may_go_on = threading.Event()
+        self.may_go_on.set()
+
+    def append(self, payloads):
+        self.may_go_on.wait(10)
+        if self.refusals:
+            self.refusals -= 1
+            raise StorageError("full")
+        super().append(payloads)
+
+
+@contextlib.asynccontextmanager
+async def stage(folder):
+    """A store that stands alone, and its disk."""
+    disk = Disk(folder)
+    disk.open()
+    node = Node(
+        Store("s1", "127.0.0.1:1", "127.0.0.1:2", "z-1"),
+        Durable("s1"),
+        machines=0,
+        counts=True,
+        draw=random.Random(1).random,
+        now=asyncio.get_running_loop().time(),
+    )
+    mesh = Mesh(Hello("core-1", "127.0.0.1:1"), lambda link, message: None, lambda link: None)
+    replicator = Replicator(node, disk, mesh, lambda peer: True, lambda: None)
+    node.found(replicator.now())
+    running = asyncio.create_task(replicator.run())
+    await until(lambda: node.is_ready)
+    try:
+        yield replicator, disk
+    finally:
+        disk.may_go_on.set()
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+        disk.close()
+
+
+def write(replicator, zone):
+    ticket = replicator.node.propose(Evacuation(zone, True), replicator.now())
+    replicator.pump()
+    return ticket
+
+
+def on_disk(folder):
+    log = RecordLog(folder)
+    found = Durable.restore(map(decode, log.open()))
+    log.close()
+    return found.state
+
+
+@loopback
+async def test_a_write_is_not_committed_before_the_disk_has_it(tmp_path):
+    async with stage(tmp_path) as (replicator, disk):
+        disk.may_go_on.clear()
+        assert write(replicator, "z-1")
+        await until(lambda: replicator._syncing_since is not None)
+        assert replicator.node.committed_state is None
+        disk.may_go_on.set()
+        await until(lambda: replicator.node.committed_state is not None)
+        assert on_disk(tmp_path).evacuated == ("z-1",)
+
+
+@pytest.mark.parametrize("refusals", [1, 3])
+@loopback
+async def test_writes_that_the_disk_refused_at_first_are_there_once(tmp_path, monkeypatch, refusals):
+    monkeypatch.setattr(replicator_module, "DISK_RETRY_S", 0.01)
+    async with stage(tmp_path) as (replicator, disk):
+        disk.refusals = refusals
+        disk.may_go_on.clear()
+        write(replicator, "z-1")
+        await until(lambda: replicator._syncing_since is not None)  # the second waits behind the first
+        write(replicator, "z-2")
+        disk.may_go_on.set()
+        await until(lambda: replicator.node.committed_state is not None)
+        assert replicator.node.committed_state.sequence == 2
+    state = on_disk(tmp_path)
+    assert (state.sequence, state.evacuated) == (2, ("z-1", "z-2"))
