Read every configuration that is acknowledged, and let no fault of ours end a link

Found on reading: a service's `engine` with a word where a number belongs passed the checks and broke every sidecar that read it, whose link to the sender then ended in an exception, and with it the task that dials.

Change: what is not used is not read (slots, memory, connections of a service); a fault in handling a message is logged with its traceback and the link goes on. Both tests are red without.

--- a/fordtrestle/peer/mesh.py
+++ b/fordtrestle/peer/mesh.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Collection
 from typing import Any
 
+import eliot
+
 from fordtrestle.peer.codec import CodecError, Hello
 from fordtrestle.peer.connection import Connection
 from fordtrestle.settings.boot import Address
@@ -134,6 +136,13 @@
             await asyncio.sleep(pause)
             pause = min(REDIAL_MOST_S, 1.5 * pause)
 
+    def _hand_over(self, link: Link, message: Any) -> None:
+        """Handle a message; a fault of ours in that ends neither the link nor the task that dials it."""
+        try:
+            self._received(link, message)
+        except Exception:
+            eliot.write_traceback()
+
     def _note_round_trip(self, address: str, took_s: float) -> None:
         """A connection came up after one round trip, and whatever delayed it."""
         self.round_trips[address] = min(took_s, self.round_trips.get(address, took_s))
@@ -146,7 +155,7 @@
         self._links.setdefault(link.node, []).append(link)
         try:
             self._linked(link)
-            await connection.run(lambda message: self._received(link, message))
+            await connection.run(lambda message: self._hand_over(link, message))
         finally:
             links = self._links[link.node]
             links.remove(link)
--- a/fordtrestle/routing/table.py
+++ b/fordtrestle/routing/table.py
@@ -24,11 +24,7 @@
     """What the configuration says of a service that requests are sent to."""
 
     name: str
-    max_connections: int = 0  # of all callers together at one server; 0: not said
-    cold_s: float = 0.0
     cold_rate_s: float = 0.0  # requests a second that a cold server bears; 0: not said
-    slots: int = 0
-    kv_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,15 +102,7 @@
 
 
 def _service(row: Mapping[str, Any]) -> Service:
-    engine = row.get("engine") or {}
-    return Service(
-        name=row["name"],
-        max_connections=int(row.get("max_connections") or 0),
-        cold_s=float(row.get("cold_start_s") or 0.0),
-        cold_rate_s=float(row.get("cold_rate_s") or 0.0),
-        slots=int(engine.get("slots") or 0),
-        kv_tokens=int(engine.get("kv_tokens") or 0),
-    )
+    return Service(name=row["name"], cold_rate_s=float(row.get("cold_rate_s") or 0.0))
 
 
 def _route(row: Mapping[str, Any]) -> Route:
--- a/tests/peer/test_connection.py
+++ b/tests/peer/test_connection.py
@@ -90,6 +90,27 @@
         decode(data)
 
 
+@loopback
+async def test_a_fault_in_handling_a_message_does_not_end_the_link():
+    received = []
+
+    def handle(link, message):
+        received.append(message)
+        if len(received) == 1:
+            raise ValueError("a fault of ours")
+
+    one = Mesh(Hello("one", ""), lambda link, message: None, lambda _: None)
+    other = Mesh(Hello("other", ""), handle, lambda _: None)
+    await other.listen(Address("127.0.0.1", 0))
+    one.dial([f"127.0.0.1:{other._server.sockets[0].getsockname()[1]}"])
+    await until(lambda: one.links())
+    one.broadcast(Want(("a",)))
+    one.broadcast(Want(("b",)))
+    await until(lambda: len(received) == 2)
+    await one.close()
+    await other.close()
+
+
 @loopback
 async def test_processes_link_up_and_notice_that_one_has_gone():
     received = []
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -8,6 +8,7 @@
 import pytest
 
 from fordtrestle.admission.budgets import ColdBudget
+from fordtrestle.control_api.configuration import read_put
 from fordtrestle.dissemination.items import (
     Availability,
     ControlView,
@@ -293,3 +294,15 @@
     for _ in range(300):
         rate.learn(1000, 0.5)
     assert rate.seconds(1000) > 0.45
+
+
+def test_what_the_checks_let_pass_can_be_read():
+    """Every configuration that is acknowledged has to be usable by all sidecars."""
+    route = {"name": "r", "authority": "a", "path_prefix": "/", "timeout_ms": "3000", "backend": "pool"}
+    odd = {"priority": None, "max_attempts": None, "home_regions": None, "weighted_backends": []}
+    service = {"name": "pool", "cold_rate_s": None, "max_connections": None, "engine": {"slots": "many"}}
+    raw = {"generation": 1, "routes": [{**route, **odd}], "services": [service], "limits": None}
+    body = json.dumps(raw).encode()
+    assert read_put(body).unwrap() == raw
+    table = parse_table(body)
+    assert table.match("a", "/").timeout_s == 3.0 and table.match("a", "/").max_attempts == 1
