Watch servers heard in an earlier life, and end waits once another store is primary

Change: servers that the catalog says this process hears are watched from its start; waits of orders end as the store steps down.

--- a/fordtrestle/control_api/heartbeats.py
+++ b/fordtrestle/control_api/heartbeats.py
@@ -118,6 +118,7 @@
         known.
         """
         items = []
+        self._adopt(catalog, now)
         for instance, heard in list(self._heard.items()):
             if now - heard.at <= self._silent_s:
                 continue
@@ -129,3 +130,10 @@
                 sequence = max(known.version[1], heard.sequence)
                 items.append(server_item(replace(known.value, silent=True), sequence))
         return items
+
+    def _adopt(self, catalog: Catalog, now: float) -> None:
+        """Watch servers whose heartbeats came here in an earlier life of this process."""
+        for record, version in catalog.servers():
+            is_ours = record.heard_by == self._node and record.phase is Phase.SERVING and not record.silent
+            if is_ours and record.instance not in self._heard:
+                self._heard[record.instance] = _Heard(version[1], now, now)
--- a/fordtrestle/control_api/orders.py
+++ b/fordtrestle/control_api/orders.py
@@ -102,7 +102,11 @@
     async def _state(self) -> ControlState | None:
         """The state, once all of it is on all replicas."""
         node = self._node
-        await self._replicator.until(lambda: node.committed_state is not None and node.is_ready, COMMIT_S)
+
+        def settled() -> bool:
+            return not node.is_primary or (node.committed_state is not None and node.is_ready)
+
+        await self._replicator.until(settled, COMMIT_S)
         return node.committed_state if node.is_ready else None
 
     async def _newest(self) -> bool:
@@ -110,7 +114,8 @@
         node = self._node
         asked = node.ask_round(self._replicator.now())
         self._replicator.pump()
-        return await self._replicator.until(lambda: node.confirmed(asked), CONFIRM_S)
+        await self._replicator.until(lambda: node.confirmed(asked) or not node.is_primary, CONFIRM_S)
+        return node.confirmed(asked)
 
     async def _write(self, change: Change) -> Outcome:
         node = self._node
