Forget what was counted of cold servers that are gone

Found on reading: the counts of sends to cold servers were never dropped, one deque for each incarnation that was ever cold.

--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -63,7 +63,7 @@
         background = [
             tasks.create_task(process.keep_dialling()),
             tasks.create_task(process.gossip.run(process.rng)),
-            tasks.create_task(_forget(view)),
+            tasks.create_task(_forget(view, cold)),
         ]
         await process.stopping.wait()
         await _leave(process, front, bounds.grace_s)
@@ -76,10 +76,11 @@
     return 0
 
 
-async def _forget(view: View) -> None:
+async def _forget(view: View, cold: ColdBudget) -> None:
     while True:
         await asyncio.sleep(FORGET_S)
         view.forget(asyncio.get_running_loop().time())
+        cold.forget(view.servers.instances())
 
 
 async def _leave(process: Process, front: Front, grace_s: float) -> None:
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -110,6 +110,10 @@
                 del self._servers[instance]
                 self._by_service[server.record.service].pop(instance, None)
 
+    def instances(self) -> set[str]:
+        """All incarnations that are known."""
+        return set(self._servers)
+
     def of(self, service: str) -> Collection[Server]:
         """All servers of a service that are known."""
         return self._by_service.get(service, {}).values()
