Sync what a killed process left before it is read, and void entries of older ballots

Cause: in RecordLog.open the sync of the file stood inside the comment above it. A process that was killed between a write and its sync had its record read, promised and told by the next life; a loss of power then took it back. The test accepted the folder's sync in its place and could not fail.

Tests run on a disk of their own (tests/storage/disk.py) that loses each write and each name since the last sync on its own, torn or whole, and ends the process at any call.

Ruled out: the rewrite's own order (new file synced, named, folder synced) holds on that disk.

--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -33,8 +33,7 @@
                 found.promised, found.accepted = record.promised, record.accepted
             elif found and isinstance(record, Snapshot):
                 found.installed, found.state = record.ballot, record.state
-            elif found and isinstance(record, Entry) and record.sequence == found.state.sequence + 1:
-                # A snapshot that was written in the place of refused records may hold later entries already.
+            elif found and isinstance(record, Entry) and found._goes_on_with(record):
                 found.state = found.state.apply(record.change)
         return found
 
@@ -95,6 +94,14 @@
         self.state = self.state.apply(change)
         return [Entry(ballot, sequence, change)]
 
+    def _goes_on_with(self, entry: Entry) -> bool:
+        """Whether an entry on disk is the next write of the state before it.
+
+        A snapshot that was written in the place of refused records may hold later entries already, or be the
+        state of a later ballot than theirs: those are void.
+        """
+        return entry.ballot == self.installed and entry.sequence == self.state.sequence + 1
+
     def _adopt(self, epoch: Epoch) -> Sequence[Record]:
         """The vote for an epoch, and the state once more as this epoch's where it was kept as it is."""
         records: list[Record] = [self._vote()]
--- a/fordtrestle/storage/log.py
+++ b/fordtrestle/storage/log.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from collections.abc import Iterable
 from pathlib import Path
@@ -27,20 +28,26 @@
         self._folder = folder
         self._file = -1
         self._folder_synced = True
+        self._tail_refused = False  # what a refused append wrote may still stand behind the last record
         self.size = 0
 
     def open(self) -> list[bytes]:
-        """Read all whole records and cut off a torn tail. `StorageError` if the disk refuses."""
+        """Read all whole records, cut off a torn tail and sync what is left. `StorageError` if the disk
+        refuses.
+        """
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            (self._folder / NEW_NAME).unlink(missing_ok=True)
+            os.makedirs(self._folder, exist_ok=True)
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(self._folder / NEW_NAME)
+            self.close()
             self._file = os.open(self._folder / NAME, os.O_RDWR | os.O_CREAT, 0o644)
             data = self._read_all()
             records = list(scan(data))
             self.size = records[-1][1] if records else 0
             os.ftruncate(self._file, self.size)
-            # What a killed process wrote is read here, yet may not have been synced: nothing may rest on it
-            # before. os.fsync(self._file)
+            # What a killed process wrote may not have been synced, nor the name of a file that it rewrote:
+            # whoever reads it here rests on it.
+            os.fsync(self._file)
             self._sync_folder()
         except OSError as error:
             raise StorageError(f"cannot open {self._folder / NAME}") from error
@@ -52,10 +59,12 @@
         try:
             if not self._folder_synced:
                 self._sync_folder()
+            if self._tail_refused:
+                self._cut_back()
             self._write_all(data, self.size)
             os.fdatasync(self._file)
         except OSError as error:
-            self._cut_back()
+            self._tail_refused = True
             raise StorageError("cannot append") from error
         self.size += len(data)
 
@@ -78,6 +87,7 @@
                 raise
             os.close(old)
             self.size = len(data)
+            self._tail_refused = False
             self._folder_synced = False  # until it is, a loss of power may bring the old file back
             self._sync_folder()
         except OSError as error:
@@ -103,10 +113,9 @@
             at += written
 
     def _cut_back(self) -> None:
-        try:
-            os.ftruncate(self._file, self.size)
-        except OSError:
-            return  # the next append writes over the same place
+        """Take away what a refused append wrote: whole records of it would be read behind the next one."""
+        os.ftruncate(self._file, self.size)
+        self._tail_refused = False
 
     def _sync_folder(self) -> None:
         folder = os.open(self._folder, os.O_RDONLY)
--- /dev/null
+++ b/tests/replication/test_durable.py
@@ -0,0 +1,38 @@
+"""What a store takes from its disk, also behind a disk that refused: the state that it has told of."""
+
+from __future__ import annotations
+
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.epochs import Ballot
+from fordtrestle.replication.messages import Entry, Snapshot, Vote
+from fordtrestle.replication.state import ControlState, Evacuation
+
+OLD, NEW = Ballot(1, "a"), Ballot(2, "b")
+
+
+def state(*zones):
+    """The state after these zones were emptied."""
+    found = ControlState()
+    for zone in zones:
+        found = found.apply(Evacuation(zone, True))
+    return found
+
+
+def test_entries_of_another_ballot_are_no_part_of_a_later_snapshot():
+    """A disk refused, and a snapshot took the place of what it refused: writes of the primary before were
+    still to come behind it when power was lost.
+    """
+    records = [Vote("s", NEW, None), Snapshot(NEW, state("z-1")), Entry(OLD, 2, Evacuation("z-old", True))]
+    assert Durable.restore(records).state == state("z-1")
+    records.append(Entry(NEW, 2, Evacuation("z-new", True)))
+    assert Durable.restore(records).state == state("z-1", "z-new")
+
+
+def test_entries_that_a_snapshot_holds_already_are_not_taken_twice():
+    records = [
+        Vote("s", NEW, None),
+        Snapshot(NEW, state("z-1", "z-2")),
+        Entry(NEW, 2, Evacuation("z-2", True)),
+        Entry(NEW, 3, Evacuation("z-3", True)),
+    ]
+    assert Durable.restore(records).state == state("z-1", "z-2", "z-3")
--- /dev/null
+++ b/tests/storage/disk.py
@@ -0,0 +1,180 @@
+"""A disk that loses at a loss of power what was not synced: of each file the writes since its last sync, of
+the folder the names that were put or taken away.
+
+`Disk.calls` stands in the place of `os` in `fordtrestle.storage.log`. A process that is killed loses nothing
+(`kill`). At a loss of power (`lose_power`) each write that was not synced is there, missing or torn, and each
+change of a name that was not synced is there or not, on its own (DEPLOY: disk). `stop_at` ends the process at
+a call, before or after it had its effect.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+FOLDER = "the folder"
+
+
+class Stopped(BaseException):
+    """The process ended amid a call to the disk. No `except` of the program may hold it up."""
+
+
+@dataclass(eq=False)
+class File:
+    """One file: what the disk has for sure, and what was written since."""
+
+    synced: bytes = b""
+    data: bytearray = field(default_factory=bytearray)
+    writes: list[tuple[int, bytes]] = field(default_factory=list)  # a negative offset: cut to that length
+
+    def write(self, at: int, data: bytes) -> None:
+        self.writes.append((at, bytes(data)))
+        _apply(self.data, at, data)
+
+    def cut(self, length: int) -> None:
+        if length != len(self.data):
+            self.writes.append((-1 - length, b""))
+            _apply(self.data, -1 - length, b"")
+
+    def sync(self) -> None:
+        self.synced, self.writes = bytes(self.data), []
+
+    def lose(self, rng: random.Random) -> None:
+        left = bytearray(self.synced)
+        all_gone = rng.random() < 0.3
+        for at, data in self.writes:
+            kept = 0 if all_gone else rng.choice((0, rng.randint(0, len(data)), len(data)))
+            if at < 0:
+                if not all_gone and rng.random() < 0.5:
+                    _apply(left, at, b"")
+            elif kept:
+                _apply(left, at, data[:kept])
+        self.data, self.writes, self.synced = left, [], bytes(left)
+
+
+def _apply(data: bytearray, at: int, written: bytes) -> None:
+    if at < 0:
+        del data[-1 - at :]
+        return
+    data.extend(bytes(max(0, at - len(data))))
+    data[at : at + len(written)] = written
+
+
+class Disk:
+    """One machine's disk, and the calls that a process on it makes."""
+
+    O_RDWR, O_CREAT, O_TRUNC, O_RDONLY = os.O_RDWR, os.O_CREAT, os.O_TRUNC, os.O_RDONLY
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.names: dict[str, File] = {}  # as the process sees them
+        self.synced_names: dict[str, File] = {}
+        self.calls: list[str] = []
+        self.stop_at: int | None = None  # the number of the call at which the process ends
+        self.refuse: set[str] = set()  # calls that fail with ENOSPC
+        self._open: dict[int, File | str] = {}
+        self._next = 100
+
+    # what happens to the machine
+
+    def kill(self) -> None:
+        """The process ends; the files stay as they are."""
+        self._open.clear()
+        self.stop_at = None
+
+    def lose_power(self) -> None:
+        """What was not synced may be gone, each write and each name on its own."""
+        self.kill()
+        for name in {*self.names, *self.synced_names}:
+            if self.names.get(name) is not self.synced_names.get(name) and self.rng.random() < 0.5:
+                _put(self.synced_names, name, self.names.get(name))
+        self.names = dict(self.synced_names)
+        for file in set(self.names.values()):
+            file.lose(self.rng)
+
+    # the calls of `os`
+
+    def makedirs(self, folder: Path, exist_ok: bool) -> None:
+        self._call("makedirs")
+
+    def open(self, path: Path, flags: int, mode: int = 0) -> int:
+        self._next += 1
+        if not flags & (os.O_RDWR | os.O_CREAT):
+            self._open[self._next] = FOLDER
+            return self._next
+        self._call("open")
+        file = self.names.setdefault(path.name, File())
+        if flags & os.O_TRUNC:
+            file.cut(0)
+        self._open[self._next] = file
+        return self._next
+
+    def close(self, descriptor: int) -> None:
+        del self._open[descriptor]
+
+    def pread(self, descriptor: int, size: int, at: int) -> bytes:
+        return bytes(self._file(descriptor).data[at : at + size])
+
+    def pwrite(self, descriptor: int, data: memoryview, at: int) -> int:
+        part = bytes(data[: max(1, len(data) // 2)]) if self.rng.random() < 0.3 else bytes(data)
+        self._call("pwrite", lambda: self._file(descriptor).write(at, part))
+        return len(part)
+
+    def ftruncate(self, descriptor: int, length: int) -> None:
+        self._call("ftruncate", lambda: self._file(descriptor).cut(length))
+
+    def fdatasync(self, descriptor: int) -> None:
+        self._call("fdatasync", self._file(descriptor).sync)
+
+    def fsync(self, descriptor: int) -> None:
+        what = self._open[descriptor]
+        if isinstance(what, File):
+            self._call("fsync", lambda: self._sync_file(what))
+        else:
+            self._call("fsync-folder", self._sync_folder)
+
+    def rename(self, old: Path, new: Path) -> None:
+        def effect() -> None:
+            self.names[new.name] = self.names.pop(old.name)
+
+        self._call("rename", effect)
+
+    def unlink(self, path: Path) -> None:
+        if path.name not in self.names:
+            raise FileNotFoundError(path)
+        self._call("unlink", lambda: self.names.pop(path.name))
+
+    def _sync_file(self, file: File) -> None:
+        """A new file lasts through its own sync; one that was given another name needs the folder's."""
+        file.sync()
+        if file not in self.synced_names.values():
+            for name, known in self.names.items():
+                if known is file:
+                    self.synced_names.setdefault(name, file)
+
+    def _sync_folder(self) -> None:
+        self.synced_names = dict(self.names)
+
+    def _file(self, descriptor: int) -> File:
+        file = self._open[descriptor]
+        assert isinstance(file, File)
+        return file
+
+    def _call(self, name: str, effect=lambda: None) -> None:
+        self.calls.append(name)
+        if name in self.refuse:
+            raise OSError(errno.ENOSPC, "full")
+        stops = self.stop_at is not None and len(self.calls) >= self.stop_at
+        if not stops or self.rng.random() < 0.5:
+            effect()
+        if stops:
+            raise Stopped(name)
+
+
+def _put(names: dict[str, File], name: str, file: File | None) -> None:
+    names.pop(name, None)
+    if file is not None:
+        names[name] = file
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -4,15 +4,18 @@
 
 from __future__ import annotations
 
-import errno
-import os
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fordtrestle.storage import log as log_module
 from fordtrestle.storage.log import NAME, NEW_NAME, RecordLog, StorageError
 from fordtrestle.storage.records import frame, scan
+from tests.storage.disk import Disk, Stopped
+
+FOLDER = Path("data")
 
 
 def reopened(folder):
@@ -82,81 +85,135 @@
     assert not (tmp_path / NEW_NAME).exists()
 
 
-class Disk:
-    """Notes the order of calls to the disk, and refuses one of them."""
-
-    def __init__(self, patch, refused=None):
-        self.calls = []
-        for name in ("pwrite", "fdatasync", "fsync", "rename", "ftruncate"):
-            patch.setattr(os, name, self._watched(name, getattr(os, name), refused))
+@pytest.fixture
+def disk(monkeypatch):
+    """A disk that loses what was not synced, in the place of the machine's."""
+    disk = Disk()
+    monkeypatch.setattr(log_module, "os", disk)
+    return disk
 
-    def _watched(self, name, call, refused):
-        def watched(*args):
-            self.calls.append(name)
-            if name == refused:
-                raise OSError(errno.ENOSPC, "full")
-            return call(*args)
 
-        return watched
+def opened(disk):
+    """The file as a process that has just started finds it."""
+    log = RecordLog(FOLDER)
+    return log, log.open()
 
 
 @pytest.mark.parametrize("refused", ["pwrite", "fdatasync"])
-def test_a_disk_that_refuses_leaves_the_file_as_it_was(tmp_path, monkeypatch, refused):
-    log = RecordLog(tmp_path)
-    log.open()
+def test_a_disk_that_refuses_leaves_the_file_as_it_was(disk, refused):
+    log, _ = opened(disk)
     log.append([b"one"])
-    with monkeypatch.context() as patch:
-        Disk(patch, refused)
-        with pytest.raises(StorageError):
-            log.append([b"two"])
+    disk.refuse = {refused}
+    with pytest.raises(StorageError):
+        log.append([b"two"])
+    disk.refuse = set()
     log.append([b"three"])
-    log.close()
-    assert reopened(tmp_path) == [b"one", b"three"]
+    disk.lose_power()
+    assert opened(disk)[1] == [b"one", b"three"]
+
+
+def test_no_record_of_a_refused_append_is_read_behind_the_next_one(disk):
+    log, _ = opened(disk)
+    disk.refuse = {"fdatasync", "ftruncate"}
+    with pytest.raises(StorageError):
+        log.append([b"one", b"two"])
+    with pytest.raises(StorageError):
+        log.append([b"six"])
+    disk.refuse = set()
+    log.append([b"six"])
+    disk.kill()
+    assert opened(disk)[1] == [b"six"]
 
 
 @pytest.mark.parametrize("refused", ["pwrite", "fsync", "rename"])
-def test_a_rewrite_that_is_refused_leaves_the_old_file_in_force(tmp_path, monkeypatch, refused):
-    log = RecordLog(tmp_path)
-    log.open()
+def test_a_rewrite_that_is_refused_leaves_the_old_file_in_force(disk, refused):
+    log, _ = opened(disk)
     log.append([b"one"])
-    with monkeypatch.context() as patch:
-        Disk(patch, refused)
-        with pytest.raises(StorageError):
-            log.rewrite([b"all"])
+    disk.refuse = {refused}
+    with pytest.raises(StorageError):
+        log.rewrite([b"all"])
+    disk.refuse = set()
     log.append([b"two"])
-    log.close()
-    assert reopened(tmp_path) == [b"one", b"two"]
+    disk.lose_power()
+    assert opened(disk)[1] == [b"one", b"two"]
 
 
-def test_the_new_file_is_synced_before_its_name_and_the_folder_before_anything_else(tmp_path, monkeypatch):
-    log = RecordLog(tmp_path)
-    log.open()
-    disk = Disk(monkeypatch)
+def test_the_new_file_is_synced_before_its_name_and_the_folder_before_anything_else(disk):
+    log, _ = opened(disk)
+    disk.calls.clear()
     log.rewrite([b"all"])
-    assert disk.calls == ["pwrite", "fsync", "rename", "fsync"]
+    calls = [call for call, before in zip(disk.calls, [None, *disk.calls], strict=False) if call != before]
+    assert calls == ["open", "pwrite", "fsync", "rename", "fsync-folder"]
 
 
-def test_a_folder_that_was_not_synced_is_before_the_next_append(tmp_path, monkeypatch):
-    log = RecordLog(tmp_path)
-    log.open()
-    whole = RecordLog._sync_folder
-    with monkeypatch.context() as patch:
-        patch.setattr(RecordLog, "_sync_folder", lambda self: (_ for _ in ()).throw(OSError()))
-        with pytest.raises(StorageError):
-            log.rewrite([b"all"])
-    synced = []
-    monkeypatch.setattr(RecordLog, "_sync_folder", lambda self: (synced.append(1), whole(self)))
+def test_a_folder_that_was_not_synced_is_before_the_next_append(disk):
+    log, _ = opened(disk)
+    disk.refuse = {"fsync-folder"}
+    with pytest.raises(StorageError):
+        log.rewrite([b"all"])
+    disk.refuse = set()
     log.append([b"two"])
-    assert synced
-    log.close()
-    assert reopened(tmp_path) == [b"all", b"two"]
+    for _ in range(20):
+        disk.lose_power()
+    assert opened(disk)[1] == [b"all", b"two"]
 
 
-def test_what_a_killed_process_left_unsynced_is_synced_before_anything_rests_on_it(tmp_path, monkeypatch):
-    log = RecordLog(tmp_path)
-    log.open()
+def test_what_a_killed_process_left_unsynced_is_on_disk_once_it_has_been_read(disk):
+    log, _ = opened(disk)
     log.append([b"one"])
-    log.close()
-    disk = Disk(monkeypatch)
-    log.open()
-    assert "fsync" in disk.calls
+    disk.stop_at = len(disk.calls) + 2  # the write has its effect, and the sync has not
+    disk.rng.random = lambda: 0.9  # no part of a write alone, no effect of the call that stops
+    with pytest.raises(Stopped):
+        log.append([b"two"])
+    del disk.rng.random
+    disk.kill()
+    log, found = opened(disk)
+    assert found == [b"one", b"two"]
+    disk.lose_power()
+    assert opened(disk)[1] == found
+
+
+def test_a_name_that_a_killed_process_did_not_sync_is_on_disk_once_its_file_has_been_read(disk):
+    log, _ = opened(disk)
+    log.append([b"one"])
+    disk.refuse = {"fsync-folder"}
+    with pytest.raises(StorageError):
+        log.rewrite([b"all"])
+    disk.refuse = set()
+    disk.kill()
+    log, found = opened(disk)
+    assert found == [b"all"]
+    for _ in range(20):
+        disk.lose_power()
+    assert opened(disk)[1] == found
+
+
+@given(seed=st.integers(0, 2**32), data=st.data())
+def test_what_was_written_or_read_outlives_any_loss_of_power(seed, data):
+    """Any calls, each ended at any point by a kill or a loss of power."""
+    disk = Disk(seed)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(log_module, "os", disk)
+        log, held = opened(disk)
+        for number in range(data.draw(st.integers(1, 8))):
+            payloads = [f"{number}.{part}".encode() * part for part in range(data.draw(st.integers(1, 4)))]
+            rewriting = data.draw(st.booleans())
+            may_hold = [payloads] if rewriting else [held + payloads[: n + 1] for n in range(len(payloads))]
+            if data.draw(st.booleans()):
+                disk.stop_at = len(disk.calls) + data.draw(st.integers(1, 6))
+            try:
+                (log.rewrite if rewriting else log.append)(payloads)
+                held = may_hold[-1]
+                if disk.stop_at is None and data.draw(st.booleans()):
+                    continue
+            except Stopped:
+                may_hold.append(held)
+                held = None
+            data.draw(st.sampled_from([disk.kill, disk.lose_power]))()
+            log, found = opened(disk)
+            assert found == held if held is not None else found in may_hold
+            held = found
+            if data.draw(st.booleans()):
+                disk.lose_power()
+                log, found = opened(disk)
+                assert found == held, "what was read was not on disk yet"
