Leave by agreement, catch up beforehand, confirm every answer and withdrawal by a majority

Now a store says that it leaves, is no replica and no place-holder any more, and stays until an epoch without it is open (or two seconds before its grace ends, or nobody else means to stay). - A store that was no replica held nothing, so that each repair sent the whole state within an opening of 2.5 s: a large state on a thin link never arrived. All witnesses follow the writes now, those behind are sent the state outside of any opening at doubled pauses, and candidates wait up to 0.4 s for stores that hold it. - The file was rewritten after 256 writes, whatever their size: a document of 4 MB filled the disk. A configuration over 8 MiB is refused (an order that fits no frame made the core open epochs for ever). - 307 led to the primary of the newest epoch known, also to the store itself and to one not heard for long. - 400 and repeated 200 were given without asking anyone; an order acted after its caller had gone (an evacuation's start after an acknowledged finish). - A call sent again after 2,048 newer ones was refused with 412. What is too old to be told is left unclear now. - draining and deregistration were acknowledged as soon as they were sent on, and a deregistration of an instance not heard of here was acknowledged and told to nobody. A majority of the core has to hold them.

--- a/fordtrestle/control_api/heartbeats.py
+++ b/fordtrestle/control_api/heartbeats.py
@@ -72,6 +72,11 @@
     return Success(Heartbeat(record, data["sequence"]))
 
 
+def _nameless(instance: str, heard_by: str) -> ServerRecord:
+    """What is known of an incarnation that is gone and was never heard of."""
+    return ServerRecord(instance, "", "", "", 0, Phase.GONE, False, 0.0, None, (), heard_by)
+
+
 @dataclass(slots=True)
 class _Heard:
     sequence: int
@@ -105,12 +110,14 @@
                 return None
         return server_item(beat.record, beat.sequence)
 
-    def deregister(self, instance: str, catalog: Catalog) -> Item | None:
-        """The item that says that an incarnation is gone; nothing where it was never heard of."""
+    def deregister(self, instance: str, catalog: Catalog) -> Item:
+        """The item that says that an incarnation is gone, also where it was not heard of here: others may
+        have heard of it.
+        """
         self._heard.pop(instance, None)
         known = catalog.get(SERVER_PREFIX + instance)
         if known is None or not isinstance(known.value, ServerRecord):
-            return None
+            return server_item(_nameless(instance, self._node), 0)
         return server_item(replace(known.value, phase=Phase.GONE), known.version[1])
 
     def fallen_silent(self, catalog: Catalog, now: float) -> list[Item]:
--- a/fordtrestle/control_api/http.py
+++ b/fordtrestle/control_api/http.py
@@ -12,11 +12,12 @@
 
 from fordtrestle.control_api import listings
 from fordtrestle.control_api.heartbeats import BODY_MOST, Heartbeats, read_heartbeat
-from fordtrestle.control_api.orders import Orders, Outcome, Verdict
+from fordtrestle.control_api.orders import DOCUMENT_MOST, IsWaiting, Orders, Outcome, Verdict
+from fordtrestle.control_api.withdrawals import Withdrawals
+from fordtrestle.dissemination.items import Phase
 from fordtrestle.peer.gossip import Gossip
-from fordtrestle.replication.epochs import Epoch
+from fordtrestle.replication.node import Node
 
-ORDER_MOST = 32 * 1024 * 1024
 BODY_S = 5.0
 RETRY_AFTER_S = 0.3
 BASE_HEADER = "X-Base-Version"
@@ -38,19 +39,21 @@
         self,
         orders: Orders,
         heartbeats: Heartbeats,
+        withdrawals: Withdrawals,
         gossip: Gossip,
         zones: frozenset[str],
-        epoch: Callable[[], Epoch | None],
+        node: Node,
     ) -> None:
         self._orders = orders
         self._heartbeats = heartbeats
+        self._withdrawals = withdrawals
         self._gossip = gossip
         self._zones = zones
-        self._epoch = epoch
+        self._node = node
 
     def application(self) -> web.Application:
         """The routes of the endpoint."""
-        application = web.Application(middlewares=[errors], client_max_size=ORDER_MOST)
+        application = web.Application(middlewares=[errors], client_max_size=DOCUMENT_MOST)
         application.add_routes(
             [
                 web.post("/v1/config/{kind:put|patch}", self._change),
@@ -68,7 +71,8 @@
         if not (base.isascii() and base.isdigit()):
             return reply(400, f"{BASE_HEADER}: expected a whole number")
         body = await read_body(request)
-        outcome = await self._orders.change_config(request.match_info["kind"], int(base), body)
+        kind = request.match_info["kind"]
+        outcome = await self._orders.change_config(kind, int(base), body, is_waiting(request))
         return self._answer(request, outcome)
 
     async def _get(self, request: web.Request) -> web.StreamResponse:
@@ -83,7 +87,8 @@
         zone = request.match_info["zone"]
         if zone not in self._zones:
             return reply(404, f"no zone {zone!r}")
-        outcome = await self._orders.evacuate(zone, request.match_info["step"] == "start")
+        active = request.match_info["step"] == "start"
+        outcome = await self._orders.evacuate(zone, active, is_waiting(request))
         return self._answer(request, outcome)
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
@@ -95,7 +100,7 @@
             case "servers":
                 rows = listings.servers(catalog)
             case _:
-                rows = listings.epoch(self._epoch())
+                rows = listings.epoch(self._node.newest_epoch)
         return web.json_response({"rows": rows})
 
     async def _heartbeat(self, request: web.Request) -> web.StreamResponse:
@@ -111,13 +116,20 @@
                 item = self._heartbeats.take(beat, self._gossip.catalog, now)
                 if item:
                     self._gossip.publish([item])
+                if beat.record.phase is not Phase.SERVING:
+                    return await self._acknowledge_withdrawal(instance)
         return reply(200)
 
     async def _deregister(self, request: web.Request) -> web.StreamResponse:
-        item = self._heartbeats.deregister(request.match_info["instance"], self._gossip.catalog)
-        if item:
-            self._gossip.publish([item])
-        return reply(200)
+        instance = request.match_info["instance"]
+        self._gossip.publish([self._heartbeats.deregister(instance, self._gossip.catalog)])
+        return await self._acknowledge_withdrawal(instance)
+
+    async def _acknowledge_withdrawal(self, instance: str) -> web.StreamResponse:
+        """200 binds all sidecars, so it is withheld where they might not learn of it in time."""
+        if await self._withdrawals.confirm(instance):
+            return reply(200)
+        return _come_back("not known to enough control processes yet")
 
     def _answer(self, request: web.Request, outcome: Outcome) -> web.StreamResponse:
         match outcome.verdict:
@@ -128,11 +140,24 @@
             case Verdict.INVALID:
                 return reply(400, *outcome.faults)
             case Verdict.ELSEWHERE:
-                epoch = self._epoch()
-                primary = epoch.store(epoch.primary) if epoch else None
+                primary = self._node.reachable_primary(asyncio.get_running_loop().time())
                 if primary:
                     return reply(307, Location=f"http://{primary.control}{request.raw_path}")
-        return reply(503, "no answer yet: send it again", Retry_After=str(RETRY_AFTER_S))
+        return _come_back("no answer yet")
+
+
+def _come_back(reason: str) -> web.Response:
+    return reply(503, f"{reason}: send it again", Retry_After=str(RETRY_AFTER_S))
+
+
+def is_waiting(request: web.Request) -> IsWaiting:
+    """Whether a call's connection is still there, as far as this process has read."""
+
+    def check() -> bool:
+        transport = request.transport
+        return transport is not None and not transport.is_closing()
+
+    return check
 
 
 async def read_body(request: web.Request) -> bytes:
--- a/fordtrestle/control_api/orders.py
+++ b/fordtrestle/control_api/orders.py
@@ -1,5 +1,8 @@
 """The operator's orders, carried out by the primary: one write at a time, each on what is known to be
-newest.
+newest, and each only while its caller waits for it.
+
+No order is answered before a majority of witnesses, asked after the call came, has confirmed that this store
+is primary: acknowledgements, refusals and reads alike.
 """
 
 from __future__ import annotations
@@ -7,6 +10,7 @@
 import asyncio
 import hashlib
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -18,8 +22,15 @@
 
 COMMIT_S = 5.0  # for a write to reach all replicas, a change of the epoch included
 CONFIRM_S = 2.0
+# Callers go elsewhere after a second of silence (PROTOCOL: the operator's API). What an evacuation does rests
+# on no version, so one that has waited for longer might undo what came after it.
+EVACUATION_WAITS_S = 0.9
+WAITING_MOST = 64  # orders at a time; a caller beyond them is told to come back
+DOCUMENT_MOST = 8 * 1024 * 1024  # bytes of a configuration: it has to fit into one message to each replica
 DIGEST_BYTES = 16
 
+IsWaiting = Callable[[], bool]  # whether an order's caller is still there
+
 
 class Verdict(Enum):
     """What became of an order."""
@@ -46,6 +57,26 @@
     return hashlib.blake2b(head + body, digest_size=DIGEST_BYTES).digest()
 
 
+def judge(kind: str, base: int, body: bytes, state: ControlState) -> Outcome | ConfigChange:
+    """What a call comes to on a state that is known to be newest: its answer, or the change that it is."""
+    digest = digest_of(kind, base, body)
+    if state.has_taken(digest):
+        return Outcome(Verdict.DONE)
+    if base != state.generation:
+        # A call that was taken is never refused, also once it is too long ago to be told from another.
+        return Outcome(Verdict.UNCLEAR if state.may_have_taken(base) else Verdict.STALE)
+    read = read_put(body) if kind == "put" else read_patch(body, state.document)
+    match read.bind(lambda raw: check_generation(raw, state.generation).map(lambda _: raw)):
+        case Success(raw):
+            document = json.dumps(raw, separators=(",", ":")).encode()
+            if len(document) > DOCUMENT_MOST:
+                return Outcome(Verdict.INVALID, (f"the configuration has more than {DOCUMENT_MOST} bytes",))
+            return ConfigChange(digest, int(raw["generation"]), document)
+        case Failure(invalid):
+            return Outcome(Verdict.INVALID, invalid.faults)
+    raise AssertionError("unreachable")
+
+
 class Orders:
     """Carries out orders on this store as far as it is the primary."""
 
@@ -53,43 +84,35 @@
         self._replicator = replicator
         self._node = replicator.node
         self._one_write = asyncio.Lock()
+        self._waiting = 0
 
-    async def change_config(self, kind: str, base: int, body: bytes) -> Outcome:
+    async def change_config(self, kind: str, base: int, body: bytes, is_waiting: IsWaiting) -> Outcome:
         """Put a configuration (`put`) or change named items of it (`patch`)."""
-        if not self._node.is_primary:
-            return Outcome(Verdict.ELSEWHERE)
-        digest = digest_of(kind, base, body)
-        async with self._one_write:
-            state = await self._state()
-            if state is None:
-                return self._unable()
-            if digest in state.taken:
-                return Outcome(Verdict.DONE)
-            if base != state.generation:
-                return Outcome(Verdict.STALE) if await self._newest() else self._unable()
-            read = read_put(body) if kind == "put" else read_patch(body, state.document)
-            checked = read.bind(lambda raw: check_generation(raw, state.generation).map(lambda _: raw))
-            match checked:
-                case Failure(invalid):
-                    return Outcome(Verdict.INVALID, invalid.faults)
-                case Success(raw):
-                    document = json.dumps(raw, separators=(",", ":")).encode()
-                    change = ConfigChange(digest, int(raw["generation"]), document)
-                    return await self._write(change)
-        raise AssertionError("unreachable")
-
-    async def evacuate(self, zone: str, active: bool) -> Outcome:
+
+        async def act(state: ControlState) -> Outcome:
+            judged = judge(kind, base, body, state)
+            if isinstance(judged, ConfigChange):
+                return await self._write(judged) if is_waiting() else self._unable()
+            return judged if await self._newest() else self._unable()
+
+        return await self._in_turn(act, is_waiting)
+
+    async def evacuate(self, zone: str, active: bool, is_waiting: IsWaiting) -> Outcome:
         """Empty a zone or take it back."""
-        if not self._node.is_primary:
-            return Outcome(Verdict.ELSEWHERE)
-        async with self._one_write:
-            state = await self._state()
-            if state is None:
+        last = self._replicator.now() + EVACUATION_WAITS_S
+
+        async def act(state: ControlState) -> Outcome:
+            # Also before a write: a process that stood still reads its caller's leave during this round trip.
+            if not await self._newest():
                 return self._unable()
             if (zone in state.evacuated) == active:
-                return Outcome(Verdict.DONE) if await self._newest() else self._unable()
+                return Outcome(Verdict.DONE)
+            if not is_waiting() or self._replicator.now() > last:
+                return self._unable()
             return await self._write(Evacuation(zone, active))
 
+        return await self._in_turn(act, is_waiting)
+
     async def current(self) -> Outcome:
         """The newest configuration, known to be that by a majority after the call came."""
         if not self._node.is_primary:
@@ -99,6 +122,22 @@
         state = await self._state()
         return Outcome(Verdict.DONE, document=state.document) if state else self._unable()
 
+    async def _in_turn(
+        self, act: Callable[[ControlState], Awaitable[Outcome]], is_waiting: IsWaiting
+    ) -> Outcome:
+        """Act on the newest state once all orders before this one are through."""
+        if not self._node.is_primary:
+            return Outcome(Verdict.ELSEWHERE)
+        if self._waiting >= WAITING_MOST:
+            return Outcome(Verdict.UNCLEAR)
+        self._waiting += 1
+        try:
+            async with self._one_write:
+                state = await self._state() if is_waiting() else None
+                return await act(state) if state else self._unable()
+        finally:
+            self._waiting -= 1
+
     async def _state(self) -> ControlState | None:
         """The state, once all of it is on all replicas."""
         node = self._node
@@ -140,5 +179,5 @@
 
 def _holds(state: ControlState, change: Change) -> bool:
     if isinstance(change, ConfigChange):
-        return change.digest in state.taken
+        return state.has_taken(change.digest)
     return (change.zone in state.evacuated) == change.active
--- a/fordtrestle/dissemination/messages.py
+++ b/fordtrestle/dissemination/messages.py
@@ -50,4 +50,19 @@
     node: str
 
 
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Asks a control process to hold an item, to pass it on, and to say that it does."""
+
+    token: int
+    item: Item
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """The item of that token is held."""
+
+    token: int
+
+
 GossipMessage = Update | RangeDigests | RangeVersions | Want
--- a/fordtrestle/forward/client.py
+++ b/fordtrestle/forward/client.py
@@ -95,6 +95,10 @@
         super().connection_lost(exc)
 
 
+def _open_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    return _Protocol(loop=loop)
+
+
 class Forwarder:
     """The connections to all servers."""
 
@@ -109,8 +113,7 @@
             socket_factory=_open_socket,
         )
         # aiohttp has no public way to choose the protocol of its connections.
-        factory: partial[ResponseHandler] = partial(_Protocol, loop=asyncio.get_running_loop())
-        connector._factory = factory
+        connector._factory = partial(_open_protocol, loop=asyncio.get_running_loop())
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/fordtrestle/peer/codec.py
+++ b/fordtrestle/peer/codec.py
@@ -34,6 +34,10 @@
     message: replication.Message
 
 
+class Retired:
+    """Holds the tag of a type that had other fields, so that it is never used again."""
+
+
 class CodecError(Exception):
     """Bytes that are no message of this protocol."""
 
@@ -47,10 +51,10 @@
     epochs.Epoch,
     state.ConfigChange,
     state.Evacuation,
-    state.ControlState,
-    replication.Announce,
+    Retired,  # ControlState with digests alone
+    Retired,  # Announce without `leaving`
     replication.Heartbeat,
-    replication.HeartbeatAck,
+    Retired,  # HeartbeatAck without the state's position
     replication.PreVote,
     replication.PreVoteGrant,
     replication.Prepare,
@@ -76,10 +80,16 @@
     messages.HasLink,
     messages.Vouch,
     replication.Resign,
+    replication.Announce,
+    replication.HeartbeatAck,
+    state.TakenCall,
+    state.ControlState,
+    messages.Confirm,
+    messages.Confirmed,
 )
-_TAGS = {kind: _FIRST_TAG + index for index, kind in enumerate(_TYPES)}
+_TAGS = {kind: _FIRST_TAG + index for index, kind in enumerate(_TYPES) if kind is not Retired}
 _BY_TAG = {tag: kind for kind, tag in _TAGS.items()}
-_FIELDS = {kind: tuple(field.name for field in fields(kind)) for kind in _TYPES}
+_FIELDS = {kind: tuple(field.name for field in fields(kind)) for kind in _TAGS}
 _ENUMS: dict[tuple[type, str], type[IntEnum]] = {
     (items.ServerRecord, "phase"): items.Phase,
     (items.MemberRecord, "availability"): items.Availability,
--- a/fordtrestle/peer/connection.py
+++ b/fordtrestle/peer/connection.py
@@ -16,7 +16,9 @@
 _COMPRESSED = 1 << 31  # in the length: the payload is compressed (zlib)
 COMPRESS_LEAST = 400  # bytes
 FRAME_MOST = 32 * 1024 * 1024
-BUFFER_MOST = 8 * 1024 * 1024  # unsent bytes; beyond them the peer does not read and is given up
+BUFFER_MOST = (
+    16 * 1024 * 1024
+)  # unsent bytes, more than the largest state; beyond them the peer does not read and is given up
 PROBE_S = 0.4  # of silence of our own, then a probe
 SILENCE_MOST_S = 1.6  # of the peer's silence, then the connection is given up
 _PROBE = _LENGTH.pack(0)
@@ -59,16 +61,28 @@
         return self._write(encode(message))
 
     async def receive(self) -> Any:
-        """The next message. Raises what `_GONE` lists, or `TimeoutError` after the peer's silence."""
+        """The next message. Raises what `_GONE` lists, or `TimeoutError` after the peer's silence.
+
+        A long frame may take as long as it needs on a thin link, as long as bytes of it come.
+        """
         while True:
+            head = _LENGTH.unpack(await self._read(_LENGTH.size))[0]
+            length = head & ~_COMPRESSED
+            if length > FRAME_MOST:
+                raise CodecError(f"a frame of {length} bytes")
+            if length:
+                payload = await self._read(length)
+                return decode(inflate(payload) if head & _COMPRESSED else payload)
+
+    async def _read(self, length: int) -> bytes:
+        data = bytearray()
+        while len(data) < length:
             async with asyncio.timeout(SILENCE_MOST_S):
-                head = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))[0]
-                length = head & ~_COMPRESSED
-                if length > FRAME_MOST:
-                    raise CodecError(f"a frame of {length} bytes")
-                if length:
-                    payload = await self._reader.readexactly(length)
-                    return decode(inflate(payload) if head & _COMPRESSED else payload)
+                part = await self._reader.read(length - len(data))
+            if not part:
+                raise EOFError
+            data += part
+        return bytes(data)
 
     async def run(self, received: Callable[[Any], None]) -> None:
         """Hand over messages until the connection ends."""
--- a/fordtrestle/peer/replicator.py
+++ b/fordtrestle/peer/replicator.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from fordtrestle.peer.codec import Envelope, encode
 from fordtrestle.peer.mesh import Mesh
@@ -15,6 +14,8 @@
 TICK_S = 0.05
 ANNOUNCE_S = 0.4
 DISK_RETRY_S = 0.2
+REWRITE_LEAST_BYTES = 256 * 1024  # the file is rewritten once it holds this much
+REWRITE_FACTOR = 3  # and so many times what its newest snapshot takes
 
 
 class Replicator:
@@ -37,6 +38,7 @@
         self._work = asyncio.Event()
         self._progress = asyncio.Event()
         self._syncing_since: float | None = None
+        self._rewrite_above = REWRITE_LEAST_BYTES  # bytes of the file
         self._peers: dict[str, str] = {}  # by store: HOST:PORT of its process
 
     @staticmethod
@@ -68,6 +70,12 @@
         self._progress.set()
         self._changed()
 
+    def announce(self) -> None:
+        """Say what this store is to all control processes."""
+        for link in self._mesh.links():
+            if self._is_control(link.peer):
+                link.send(self.node.announcement())
+
     async def until(self, reached: Callable[[], bool], seconds: float) -> bool:
         """Wait until something holds that the node's progress brings about; whether it did in time."""
         try:
@@ -88,9 +96,7 @@
             if now >= announce_at:
                 announce_at = now + ANNOUNCE_S
                 if syncing < TICK_S * 10:
-                    for link in self._mesh.links():
-                        if self._is_control(link.peer):
-                            link.send(self.node.announcement())
+                    self.announce()
             self.pump()
             await asyncio.sleep(TICK_S)
 
@@ -106,25 +112,29 @@
             self.pump()
 
     async def _write(self, batch: list[Effects]) -> None:
-        records: list[Any] = []
-        rewrite = False
-        for effects in batch:
-            records = list(effects.records) if effects.rewrite else records + effects.records
-            rewrite = rewrite or effects.rewrite
+        """Put records on disk, or a snapshot, which holds what they come to, where the file has got long."""
+        records = [record for effects in batch for record in effects.records]
         if not records:
             return
         self._syncing_since = self.now()
-        write = self._log.rewrite if rewrite else self._log.append
+        snapshot = self._log.size > self._rewrite_above
         while True:
             try:
-                await asyncio.to_thread(write, list(map(encode, records)))
+                if snapshot:
+                    await self._rewrite()
+                else:
+                    await asyncio.to_thread(self._log.append, list(map(encode, records)))
                 break
             except StorageError:
                 # The disk is full or refuses writes: nothing is said until a snapshot has been taken.
                 await asyncio.sleep(DISK_RETRY_S)
-                records, write = list(self.node.durable.snapshot()), self._log.rewrite
+                snapshot = True
         self._syncing_since = None
 
+    async def _rewrite(self) -> None:
+        await asyncio.to_thread(self._log.rewrite, list(map(encode, self.node.durable.snapshot())))
+        self._rewrite_above = REWRITE_LEAST_BYTES + REWRITE_FACTOR * self._log.size
+
     def _deliver(self, receiver: str, message: Message) -> None:
         if receiver == self.node.me.id:
             self.node.receive(receiver, message, self.now())
--- /dev/null
+++ b/fordtrestle/replication/catch_up.py
@@ -0,0 +1,41 @@
+"""Which stores are behind the primary, and when each is sent the whole state: outside of any opening, so that
+they can step in at once. Pure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+BEHIND_S = 0.4  # without getting further before the state is sent: a write may be on its way
+PAUSE_MOST_S = 8.0  # between two sends of the state to one store; they double from `BEHIND_S`
+
+
+@dataclass(slots=True)
+class _Lag:
+    since: float
+    sequence: int
+    pause_s: float = BEHIND_S
+
+
+@dataclass(slots=True)
+class CatchUp:
+    """The stores that are behind. Times are s of a steady clock."""
+
+    _lags: dict[str, _Lag] = field(default_factory=dict)
+
+    def is_due(self, store: str, held: int, newest: int, now: float) -> bool:
+        """Whether a store whose state reaches `held`, where the primary's reaches `newest`, is to be sent
+        the state now. Sends to a store that gets no further double their pauses, so that a thin link or a
+        slow disk is given time.
+        """
+        if held >= newest:
+            self._lags.pop(store, None)
+            return False
+        lag = self._lags.get(store)
+        if lag is None or held > lag.sequence:
+            self._lags[store] = _Lag(now, held)
+            return False
+        if now - lag.since < lag.pause_s:
+            return False
+        lag.since, lag.pause_s = now, min(PAUSE_MOST_S, 2.0 * lag.pause_s)
+        return True
--- a/fordtrestle/replication/contacts.py
+++ b/fordtrestle/replication/contacts.py
@@ -9,7 +9,7 @@
 from fordtrestle.replication.messages import Announce
 
 HEARD_S = 1.0  # a store not heard for longer is not live
-REPLACE_S = 2.0  # a witness silent for so long may give its place to a new store
+REPLACE_S = 2.0  # a witness silent for longer may lose its place to a new store
 FORGET_S = 60.0  # a store not heard for so long is forgotten until it announces itself
 
 
@@ -17,6 +17,7 @@
 class _Contact:
     store: Store
     counts: bool
+    leaving: bool
     heard: float
 
 
@@ -28,7 +29,7 @@
 
     def meet(self, message: Announce, now: float) -> None:
         """A store has announced itself: another one that was in its machine is no more."""
-        self._contacts[message.store.id] = _Contact(message.store, message.counts, now)
+        self._contacts[message.store.id] = _Contact(message.store, message.counts, message.leaving, now)
         for store_id, contact in list(self._contacts.items()):
             replaced = contact.store.address == message.store.address and store_id != message.store.id
             if replaced or now - contact.heard > FORGET_S:
@@ -42,19 +43,25 @@
         """The stores that were heard of late."""
         return {store_id for store_id, contact in self._contacts.items() if now - contact.heard <= HEARD_S}
 
+    def leaving(self) -> frozenset[str]:
+        """The stores that have said that they are about to end."""
+        return frozenset(store_id for store_id, contact in self._contacts.items() if contact.leaving)
+
     def newcomers(self, known: Iterable[str], now: float) -> list[Store]:
-        """Live stores that count for the quorum and are not among those known."""
+        """Live stores that count for the quorum, mean to stay and are not among those known."""
         others = self.live(now).difference(known)
         return [
             contact.store
             for store_id, contact in self._contacts.items()
-            if contact.counts and store_id in others
+            if contact.counts and not contact.leaving and store_id in others
         ]
 
-    def is_silent(self, store_id: str, since: float, now: float) -> bool:
-        """Whether a store has said nothing for so long that its place may be given away.
+    def gives_up_place(self, store_id: str, since: float, now: float) -> bool:
+        """Whether a witness's place may be given away: it is about to end, or has said nothing for so long.
 
         One that was never heard counts from `since`.
         """
         contact = self._contacts.get(store_id)
+        if contact and contact.leaving:
+            return True
         return now - (contact.heard if contact else since) > REPLACE_S
--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -58,7 +58,7 @@
     def accept(self, epoch: Epoch) -> Sequence[Record] | None:
         """Hold an epoch as the newest; nothing where a newer ballot was promised.
 
-        A replica of it that holds the candidate's state already (`Epoch.kept`) goes on from there.
+        A store that holds the candidate's state already (`Epoch.kept`) goes on from there.
         """
         if epoch.ballot < self.promised:
             return None
@@ -105,7 +105,7 @@
     def _adopt(self, epoch: Epoch) -> Sequence[Record]:
         """The vote for an epoch, and the state once more as this epoch's where it was kept as it is."""
         records: list[Record] = [self._vote()]
-        if self.store in epoch.replicas and epoch.kept == (self.installed, self.state.sequence):
+        if epoch.kept == (self.installed, self.state.sequence):
             self.installed = epoch.ballot
             records.append(Snapshot(self.installed, self.state))
         return records
--- a/fordtrestle/replication/epochs.py
+++ b/fordtrestle/replication/epochs.py
@@ -76,15 +76,19 @@
     return all(majority(voted, quorum) for quorum in quorums)
 
 
-def choose_replicas(primary: Store, live: Iterable[Store], count: int) -> tuple[str, ...]:
-    """The primary and others that are live, each in a zone of its own as far as there are some."""
+def choose_replicas(
+    primary: Store, live: Iterable[Store], holding: Collection[str], leaving: Collection[str], count: int
+) -> tuple[str, ...]:
+    """The primary and others that are live: those that are about to end last, those that hold the state
+    first, and among these one of each zone first.
+    """
     chosen, zones = [primary.id], {primary.zone}
     others = sorted((store for store in live if store.id != primary.id), key=lambda store: store.id)
-    for store in sorted(others, key=lambda store: store.zone in zones):
-        if len(chosen) < count and store.zone not in zones:
-            chosen.append(store.id)
-            zones.add(store.zone)
-    for store in others:
-        if len(chosen) < count and store.id not in chosen:
-            chosen.append(store.id)
+    while others and len(chosen) < count:
+        best = min(
+            others, key=lambda store: (store.id in leaving, store.id not in holding, store.zone in zones)
+        )
+        others.remove(best)
+        chosen.append(best.id)
+        zones.add(best.zone)
     return tuple(chosen)
--- a/fordtrestle/replication/leadership.py
+++ b/fordtrestle/replication/leadership.py
@@ -1,9 +1,12 @@
-"""What a primary keeps of its epoch: who has answered which heartbeat, and what is on all replicas."""
+"""What a primary keeps of its epoch: who has answered which heartbeat, what is on all replicas, and who is
+behind.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
+from fordtrestle.replication.catch_up import CatchUp
 from fordtrestle.replication.epochs import Epoch, majority
 
 MAJORITY_S = 1.2  # without a majority's answer for so long the primary steps down: others may elect
@@ -20,6 +23,7 @@
     known_open: bool = False  # by a majority of witnesses, on disk
     confirmed_round: int = 0  # of heartbeats: a majority has answered it
     append_since: float | None = None  # when the oldest write under way was begun
+    catch_up: CatchUp = field(default_factory=CatchUp)
     _answered: dict[str, int] = field(default_factory=dict)  # by witness: the newest round
     _appended: dict[str, int] = field(default_factory=dict)  # by replica: the newest sequence
 
--- a/fordtrestle/replication/messages.py
+++ b/fordtrestle/replication/messages.py
@@ -10,10 +10,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Announce:
-    """A store is up. `counts`: whether its machine counts for the quorum."""
+    """A store is up. `counts`: whether its machine counts for the quorum; `leaving`: whether it is about to
+    end and waits for others to take its place.
+    """
 
     store: Store
     counts: bool
+    leaving: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,15 +29,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatAck:
-    """The witness has promised nothing newer than this ballot."""
+    """The witness has promised nothing newer than this ballot; `installed` and `sequence` tell its state as
+    in `Promised`.
+    """
 
     ballot: Ballot
     round: int
+    installed: Ballot
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
 class Resign:
-    """The primary of this ballot is about to end: nobody need wait until it is missed."""
+    """The primary of this ballot is one no more: nobody need wait until it is missed."""
 
     ballot: Ballot
 
@@ -77,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """The candidate's whole state, for a replica of the epoch that it opens."""
+    """The whole state, for a replica of the epoch that a candidate opens, or for a store that is behind."""
 
     ballot: Ballot
     state: ControlState
@@ -106,7 +113,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Append:
-    """One write, for a replica of the epoch of that ballot."""
+    """One write of the epoch of that ballot, for its replicas and for all that follow."""
 
     ballot: Ballot
     sequence: int
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -25,9 +25,9 @@
 ELECTION_RANK_S = 0.4  # later by so much for each backup before it, so that they do not collide
 ELECTION_JITTER_S = 0.2
 REPEAT_S = 0.4
-OPENING_MOST_S = 2.5  # an opening that takes longer is begun anew
+OPENING_MOST_S = 2.5  # an opening that takes longer is begun anew,
+INSTALL_MOST_S = 20.0  # unless the whole state is on its way to replicas that are live
 STALLED_S = 0.6  # a sync that takes longer: the primary falls silent, so that another takes over
-REWRITE_ENTRIES = 256  # entries behind a snapshot before the file is rewritten
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,6 @@
     """Records to sync, then messages that may be sent."""
 
     records: list[Record] = field(default_factory=list)
-    rewrite: bool = False  # the records replace all that the file holds
     messages: list[Outgoing] = field(default_factory=list)
 
     def __bool__(self) -> bool:
@@ -78,8 +77,9 @@
         self._prevotes: set[str] | None = None
         self._prevote_round = 0
         self._newest_ballot = NO_BALLOT
-        self._entries = 0
+        self._leaving = False
         self._heard_primary = now
+        self._led_by: Store | None = None  # whose heartbeat was heard, at `_heard_primary`
         self._primary_lost = ""  # a primary that has ended, or whose machine holds another store by now
         # Whether this store was primary and has started anew: nobody else is primary of that epoch.
         self._returning = bool(durable.accepted and durable.accepted.primary == me.id)
@@ -108,6 +108,35 @@
             and len(leadership.epoch.witnesses) >= self._target
         )
 
+    def reachable_primary(self, now: float) -> Store | None:
+        """Another store that was heard to be primary lately; nothing where callers had better try anyone."""
+        led_by = self._led_by
+        if led_by is None or led_by.id == self._primary_lost or now - self._heard_primary > ELECTION_S:
+            return None
+        return led_by
+
+    def may_leave(self, now: float) -> bool:
+        """Whether this store may end: as far as it knows, an epoch is open that needs it no more.
+
+        It is needed as a replica, and as a witness while another store waits for its place. Where nobody
+        else means to stay there is nothing to wait for.
+        """
+        epoch = self.epoch
+        staying = self._contacts.live(now) - self._contacts.leaving() - {self.me.id}
+        if not staying:
+            return True
+        accepted = self.durable.accepted
+        if (
+            self._leadership
+            or self._opening
+            or epoch is None
+            or (accepted and accepted.ballot > epoch.ballot)
+        ):
+            return False
+        waiting = self._contacts.newcomers(epoch.witness_ids, now)
+        needed = epoch.witness_ids if waiting else epoch.replicas
+        return self.me.id not in needed
+
     @property
     def newest_epoch(self) -> Epoch | None:
         """The newest epoch that this store knows, open or only accepted."""
@@ -132,13 +161,14 @@
             return None
         self._write(records)
         self._send(self.me.id, wire.Appended(ballot, sequence))
-        for replica in leadership.epoch.replicas:
-            if replica != self.me.id:
-                self._send(replica, wire.Append(ballot, sequence, change))
+        for store_id in leadership.epoch.witness_ids:  # those that are no replicas follow, to step in at once
+            if store_id != self.me.id:
+                self._send(store_id, wire.Append(ballot, sequence, change))
         return Ticket(sequence)
 
-    def resign(self, now: float) -> None:
-        """Give up being primary before this process ends, so that a backup takes over at once."""
+    def leave(self, now: float) -> None:
+        """Make ready to end: stay until `may_leave`, as a voter and with the state, but lead no more."""
+        self._leaving = True
         leadership = self._leadership
         if leadership is None:
             return
@@ -163,9 +193,6 @@
     def drain(self) -> Effects:
         """What is to be synced and then sent."""
         effects, self._effects = self._effects, Effects()
-        if self._entries >= REWRITE_ENTRIES and effects.records:
-            effects.records, effects.rewrite = list(self.durable.snapshot()), True
-            self._entries = 0
         return effects
 
     def tick(self, now: float, syncing_s: float = 0.0) -> None:
@@ -254,12 +281,15 @@
         if epoch.ballot < self.durable.promised:
             self._send(sender, wire.Rejected(epoch.ballot, self.durable.promised))
             return
-        self._write(self.durable.settle(epoch))
-        self._send(sender, wire.HeartbeatAck(epoch.ballot, message.round))
+        durable = self.durable
+        self._write(durable.settle(epoch))
+        position = (durable.installed, durable.state.sequence)
+        self._send(sender, wire.HeartbeatAck(epoch.ballot, message.round, *position))
         self.epoch = epoch
         if sender == self.me.id:
             return
         self._heard_primary = now
+        self._led_by = epoch.store(epoch.primary)
         self._primary_lost = ""
         self._yield_to(epoch.ballot, now)
 
@@ -277,8 +307,15 @@
 
     def _take_heartbeat_ack(self, sender: str, message: wire.HeartbeatAck, now: float) -> None:
         leadership = self._leadership
-        if leadership and message.ballot == leadership.epoch.ballot:
-            leadership.answered(sender, message.round, now)
+        if leadership is None or message.ballot != leadership.epoch.ballot:
+            return
+        leadership.answered(sender, message.round, now)
+        state, ballot = self.durable.state, leadership.epoch.ballot
+        held = message.sequence if message.installed == ballot else -1
+        if held >= 0 and self.durable.installed == ballot:
+            leadership.appended(sender, held)
+        if leadership.catch_up.is_due(sender, held, state.sequence, now):
+            self._send(sender, wire.Install(ballot, state))
 
     def _take_appended(self, sender: str, message: wire.Appended) -> None:
         leadership = self._leadership
@@ -296,17 +333,21 @@
         replicas_lost = not live.issuperset(epoch.replicas) or leadership.is_held_up(now)
         spare = live & {store.id for store in planned}
         too_few = len(epoch.replicas) < min(self._replicas, len(spare))
+        leaving = self._contacts.leaving()
+        if not leaving.isdisjoint(epoch.replicas) and len(spare - leaving) >= self._replicas:
+            replicas_lost = True
         if planned != epoch.witnesses or (replicas_lost and majority(live, epoch.witness_ids)) or too_few:
             self._open(epoch, planned, now)
 
     def _plan(self, epoch: Epoch, now: float) -> tuple[Store, ...]:
         """The witnesses that the epoch should have."""
-        silent = {
+        giving_up = {
             store_id
             for store_id in epoch.witness_ids
-            if store_id != self.me.id and self._contacts.is_silent(store_id, self._heard_primary, now)
+            if store_id != self.me.id and self._contacts.gives_up_place(store_id, self._heard_primary, now)
         }
-        return plan_witnesses(epoch, self._contacts.newcomers(epoch.witness_ids, now), silent, self._target)
+        newcomers = self._contacts.newcomers(epoch.witness_ids, now)
+        return plan_witnesses(epoch, newcomers, giving_up, self._target)
 
     # elections
 
@@ -315,6 +356,7 @@
         accepted = self.durable.accepted
         backups = [store for store in accepted.replicas if store != accepted.primary] if accepted else []
         rank = backups.index(self.me.id) if self.me.id in backups else 0
+        rank += self._leaving * len(backups)
         wait = ELECTION_S + ELECTION_RANK_S * rank + ELECTION_JITTER_S * self._draw()
         if self._returning:
             wait = RETURN_S
@@ -335,8 +377,10 @@
 
     def _miss_no_longer(self, primary: str, now: float) -> None:
         """Ask for an election soon, and once: each new question makes the answers to the last one void."""
-        if primary != self._primary_lost:
-            self._primary_lost = primary
+        if primary == self._primary_lost:
+            return
+        self._primary_lost = primary
+        if not self._leaving:
             self._election_at = min(self._election_at, now + ELECTION_JITTER_S * self._draw())
 
     def _start_prevote(self, now: float) -> None:
@@ -381,7 +425,8 @@
     def _open(self, base: Epoch, witnesses: tuple[Store, ...], now: float) -> None:
         newest = max(self.durable.promised, self._newest_ballot, base.ballot)
         ballot = Ballot(newest.number + 1, self.me.id)
-        self._opening = Opening(self.me, ballot, base, witnesses, self._replicas, began=now)
+        leaving = self._contacts.leaving()
+        self._opening = Opening(self.me, ballot, base, witnesses, self._replicas, leaving, began=now)
         self._repeat_at = now + REPEAT_S
         for receiver, message in self._opening.start():
             self._send(receiver, message)
@@ -389,7 +434,9 @@
     def _tend_opening(self, now: float) -> None:
         opening = self._opening
         assert opening is not None
-        if now - opening.began > OPENING_MOST_S:
+        live = {self.me.id} | self._contacts.live(now)
+        installing = bool(opening.installing) and not opening.proposed and live.issuperset(opening.installing)
+        if now - opening.began > (INSTALL_MOST_S if installing else OPENING_MOST_S):
             self._opening = None
             self._step_down(now)
         elif now >= self._repeat_at:
@@ -415,6 +462,7 @@
     def _begin_epoch(self, epoch: Epoch, known_open: bool, now: float) -> None:
         self.epoch = epoch
         self._primary_lost = ""
+        self._led_by = None
         self._returning = False
         sequence = self.durable.state.sequence
         self._leadership = Leadership(epoch, committed=sequence, confirmed_at=now, known_open=known_open)
@@ -445,11 +493,10 @@
 
     def announcement(self) -> wire.Announce:
         """What this store says of itself."""
-        return wire.Announce(self.me, self._counts)
+        return wire.Announce(self.me, self._counts, self._leaving)
 
     def _write(self, records: Sequence[Record]) -> None:
         self._effects.records.extend(records)
-        self._entries += sum(isinstance(record, wire.Entry) for record in records)
 
     def _send(self, receiver: str, message: Message) -> None:
         self._effects.messages.append((receiver, message))
--- a/fordtrestle/replication/opening.py
+++ b/fordtrestle/replication/opening.py
@@ -12,11 +12,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch, Store, choose_replicas, supported
+from fordtrestle.replication.epochs import Ballot, Epoch, Store, choose_replicas, supported
 from fordtrestle.replication.messages import Accept, Accepted, Install, Installed, Message, Prepare, Promised
 from fordtrestle.replication.state import ControlState
 
 Outgoing = tuple[str, Message]  # store id of the receiver, and what it is sent
+Position = tuple[Ballot, int]  # the ballot that a state was installed under, and its sequence
 
 
 @dataclass(slots=True)
@@ -28,16 +29,16 @@
     base: Epoch  # the newest epoch known
     witnesses: tuple[Store, ...]  # of the epoch to be opened
     replica_count: int
+    leaving: frozenset[str]  # stores that are about to end: replicas only where there are no others
     began: float  # s, steady clock
     newer: Epoch | None = None  # than the base: to be tried again on top of it, by one of its replicas
     proposed: Epoch | None = None
     opened: Epoch | None = None
-    promised: set[str] = field(default_factory=set)
-    holding: set[str] = field(default_factory=set)  # stores that hold the candidate's state as it is
-    installed_under: Ballot = NO_BALLOT  # the candidate's own
+    promised: dict[str, Position] = field(default_factory=dict)  # what each held as it promised
     installed: set[str] = field(default_factory=set)
     accepted: set[str] = field(default_factory=set)
-    _installing: tuple[str, ...] = ()
+    installing: tuple[str, ...] = ()  # the replicas to be, once they are chosen
+    _repeats: int = 0
 
     @property
     def quorums(self) -> tuple[tuple[str, ...], ...]:
@@ -56,7 +57,7 @@
         match message:
             case Promised() if message.ballot == self.ballot:
                 return self._take_promise(sender, message, state)
-            case Installed() if message.ballot == self.ballot and self._installing:
+            case Installed() if message.ballot == self.ballot and self.installing:
                 self.installed.add(sender)
                 return self._propose()
             case Accepted() if self.proposed and message.ballot == self.ballot:
@@ -66,14 +67,21 @@
         return []
 
     def repeat(self, state: ControlState) -> list[Outgoing]:
-        """What is still unanswered, once more: links lose messages."""
+        """What is still unanswered, once more: links lose messages. Whole states at doubled pauses only."""
+        self._repeats += 1
         if self.proposed:
             missing = self._everyone() - self.accepted
             return [(store_id, Accept(self.proposed)) for store_id in sorted(missing)]
-        if self._installing:
-            missing = set(self._installing) - self.installed
+        if self.installing:
+            if self._repeats & (self._repeats - 1):
+                return []
+            missing = set(self.installing) - self.installed
             return [(store_id, Install(self.ballot, state)) for store_id in sorted(missing)]
-        return [(store_id, Prepare(self.ballot)) for store_id in sorted(self._everyone() - self.promised)]
+        missing = self._everyone() - set(self.promised)
+        return [
+            *((store_id, Prepare(self.ballot)) for store_id in sorted(missing)),
+            *self._begin_installing(state, patient=False),
+        ]
 
     def _everyone(self) -> set[str]:
         return {store_id for quorum in self.quorums for store_id in quorum}
@@ -85,26 +93,37 @@
             return []
         if known and known.ballot == self.base.ballot and not known.earlier:
             self.base = known  # it is known there that this epoch is open
-        self.promised.add(sender)
-        if sender == self.me.id:
-            self.installed_under = message.installed
-        if (message.installed, message.sequence) == (self.installed_under, state.sequence):
-            self.holding.add(sender)
-        if self._installing or not supported(self.promised, self.quorums):
+        self.promised[sender] = (message.installed, message.sequence)
+        return self._begin_installing(state, patient=True)
+
+    def _begin_installing(self, state: ControlState, patient: bool) -> list[Outgoing]:
+        """Choose the replicas once enough have promised, and send the state to them if they lack it.
+
+        A patient candidate waits for stores that hold its state already and mean to stay, as long as some
+        have yet to promise.
+        """
+        held = self.promised.get(self.me.id)
+        if self.installing or held is None or not supported(self.promised, self.quorums):
             return []
+        holding = {store_id for store_id, position in self.promised.items() if position == held}
         live = [store for store in self.witnesses if store.id in self.promised]
-        self._installing = choose_replicas(self.me, live, self.replica_count)
-        if self.holding.issuperset(self._installing):
-            return self._propose((self.installed_under, state.sequence))
-        return [(store_id, Install(self.ballot, state)) for store_id in self._installing]
+        chosen = choose_replicas(self.me, live, holding, self.leaving, self.replica_count)
+        best = holding - self.leaving
+        is_best = len(chosen) == self.replica_count and best.issuperset(chosen[1:])
+        if patient and not is_best and self._everyone() - set(self.promised):
+            return []
+        self.installing = chosen
+        if holding.issuperset(chosen):
+            return self._propose(held)
+        return [(store_id, Install(self.ballot, state)) for store_id in chosen]
 
-    def _propose(self, kept: tuple[Ballot, int] | None = None) -> list[Outgoing]:
-        if self.proposed or not (kept or self.installed.issuperset(self._installing)):
+    def _propose(self, kept: Position | None = None) -> list[Outgoing]:
+        if self.proposed or not (kept or self.installed.issuperset(self.installing)):
             return []
         self.proposed = Epoch(
             ballot=self.ballot,
             primary=self.me.id,
-            replicas=self._installing,
+            replicas=self.installing,
             witnesses=self.witnesses,
             earlier=self.base.quorums,
             kept=kept,
@@ -113,17 +132,17 @@
 
 
 def plan_witnesses(
-    epoch: Epoch, newcomers: Iterable[Store], silent: set[str], target: int
+    epoch: Epoch, newcomers: Iterable[Store], giving_up: set[str], target: int
 ) -> tuple[Store, ...]:
     """The witnesses that the next epoch should have.
 
     A store in the machine of another takes that one's place: its disk was lost. Others fill up to `target`,
-    or take the place of one that has been silent.
+    or take the place of one that gives it up (`Contacts.gives_up_place`).
     """
     planned = list(epoch.witnesses)
     for newcomer in newcomers:
         same = [index for index, store in enumerate(planned) if store.address == newcomer.address]
-        gone = [index for index, store in enumerate(planned) if store.id in silent]
+        gone = [index for index, store in enumerate(planned) if store.id in giving_up]
         if same:
             planned[same[0]] = newcomer
         elif len(planned) < target:
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -4,18 +4,23 @@
 
 import asyncio
 import secrets
+from typing import Any
 
 import eliot
 
 from fordtrestle.control_api.heartbeats import Heartbeats
 from fordtrestle.control_api.http import ControlApi
 from fordtrestle.control_api.orders import Orders
+from fordtrestle.control_api.withdrawals import Withdrawals
 from fordtrestle.dissemination.items import Availability, ControlView, control_item
+from fordtrestle.dissemination.messages import Confirm, Confirmed
 from fordtrestle.ingress.directory import Directory
-from fordtrestle.peer.codec import CodecError, decode, encode
+from fordtrestle.peer.codec import CodecError, Envelope, decode, encode
+from fordtrestle.peer.mesh import Link
 from fordtrestle.peer.replicator import Replicator
 from fordtrestle.replication.durable import Durable
 from fordtrestle.replication.epochs import Store
+from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
 from fordtrestle.roles.process import CONTROL_ROLE, EXIT_FAILED, Process, serve_http
 from fordtrestle.roles.process import main as run_role
@@ -25,7 +30,9 @@
 STORE_ID_BYTES = 8
 SILENCE_CHECK_S = 0.3
 DISK_RETRY_S = 0.5
-RESIGN_S = 0.3  # for word of the end to reach the others
+LEAVE_LEAST_S = 0.3  # for word of the end to reach the others
+LEAVE_CHECK_S = 0.05
+GRACE_MARGIN_S = 2.0  # of the platform's grace, to end in
 
 
 async def _open_store(log: RecordLog) -> Durable:
@@ -64,7 +71,19 @@
         self.heartbeats = Heartbeats(boot.node_name, boot.heartbeat_s)
         self._published = -1
         self._epoch = -1
-        self.process.on_message = self.replicator.received
+        self.withdrawals = Withdrawals(
+            me, self.process.mesh, self.process.gossip, lambda: self.node.newest_epoch
+        )
+        self.process.on_message = self._received
+
+    def _received(self, link: Link, message: Any) -> None:
+        match message:
+            case Confirm():
+                self.withdrawals.asked(link, message)
+            case Confirmed():
+                self.withdrawals.answered(link, message)
+            case Envelope() | Announce():
+                self.replicator.received(message)
 
     def _changed(self) -> None:
         """Spread what is committed; note who is primary."""
@@ -84,6 +103,20 @@
                 witnesses=list(epoch.witness_ids),
             )
 
+    async def leave(self, grace_s: float) -> None:
+        """Serve on until others hold what this store holds under an epoch without it, within the platform's
+        grace.
+        """
+        loop = asyncio.get_running_loop()
+        last = loop.time() + max(LEAVE_LEAST_S, grace_s - GRACE_MARGIN_S)
+        self.node.leave(loop.time())
+        self.replicator.announce()
+        self.replicator.pump()
+        await asyncio.sleep(LEAVE_LEAST_S)
+        while loop.time() < last and not self.node.may_leave(loop.time()):
+            await asyncio.sleep(LEAVE_CHECK_S)
+        eliot.log_message("control:left", needed=not self.node.may_leave(loop.time()))
+
     async def watch_servers(self) -> None:
         """Tell of servers whose heartbeats have stopped, until cancelled."""
         while True:
@@ -116,9 +149,10 @@
     api = ControlApi(
         Orders(control.replicator),
         control.heartbeats,
+        control.withdrawals,
         process.gossip,
         frozenset(boot.zones),
-        lambda: control.node.newest_epoch,
+        control.node,
     )
     runners = [await serve_http(api.application(), boot.listen["control"])]
     if "directory" in boot.listen:
@@ -132,9 +166,7 @@
             tasks.create_task(control.watch_servers()),
         ]
         await process.stopping.wait()
-        control.node.resign(asyncio.get_running_loop().time())
-        control.replicator.pump()
-        await asyncio.sleep(RESIGN_S)
+        await control.leave(boot.bounds.grace_s)
         for task in background:
             task.cancel()
     for runner in runners:
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -68,7 +68,7 @@
         self._suspicion = Suspicion()
         self._settings = file_bytes()
         self.on_items: Callable[[list[Item]], None] = lambda items: None
-        self.on_message: Callable[[Any], None] = lambda message: None
+        self.on_message: Callable[[Link, Any], None] = lambda link, message: None
 
     async def start(self) -> None:
         """Listen to other processes and begin to dial them. Raises `OSError`."""
@@ -160,7 +160,7 @@
         elif isinstance(message, Vouch):
             self._suspicion.vouched(message.node, asyncio.get_running_loop().time())
         else:
-            self.on_message(message)
+            self.on_message(link, message)
 
     def _linked(self, link: Link) -> None:
         self.gossip.linked(link)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,10 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from tests import guards
+
+guards.take_out()
+
 pytest_plugins = ("tests.known_red", "tests.sharing", "pytester")
 
 # The same examples each time, and no verdict by the time that one takes: that is the machine's.
--- a/tests/peer/test_connection.py
+++ b/tests/peer/test_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import struct
 import zlib
 
@@ -68,6 +69,45 @@
     server.close()
 
 
+@loopback
+async def test_a_peer_that_falls_silent_is_given_up(monkeypatch):
+    monkeypatch.setattr(connection_module, "SILENCE_MOST_S", 0.05)
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await Connection(reader, writer).run(lambda message: None)
+        ended.set()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    writer.write(frame(encode(Want(("a",))))[:-1])
+    await ended.wait()
+    writer.close()
+    server.close()
+
+
+@loopback
+async def test_a_long_frame_may_take_longer_than_a_silence(monkeypatch):
+    """On a thin link, where its bytes come little by little."""
+    monkeypatch.setattr(connection_module, "SILENCE_MOST_S", 0.2)
+    received = []
+
+    async def serve(reader, writer):
+        await Connection(reader, writer).run(received.append)
+
+    message = Want(tuple(f"server/{random.random()}" for _ in range(200)))
+    data = frame(encode(message))
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    step = len(data) // 8
+    for at in range(0, len(data), step):
+        writer.write(data[at : at + step])
+        await asyncio.sleep(0.05)
+    await until(lambda: received == [message])
+    writer.close()
+    server.close()
+
+
 def test_a_frame_that_would_grow_too_large_is_refused(monkeypatch):
     monkeypatch.setattr(connection_module, "FRAME_MOST", 1000)
     with pytest.raises(CodecError):
--- a/tests/peer/test_replicator.py
+++ b/tests/peer/test_replicator.py
@@ -10,11 +10,12 @@
 import pytest
 
 from fordtrestle.peer import replicator as replicator_module
-from fordtrestle.peer.codec import Hello, decode
+from fordtrestle.peer.codec import Envelope, Hello, decode
 from fordtrestle.peer.mesh import Mesh
 from fordtrestle.peer.replicator import Replicator
 from fordtrestle.replication.durable import Durable
-from fordtrestle.replication.epochs import Store
+from fordtrestle.replication.epochs import Ballot, Store
+from fordtrestle.replication.messages import Prepare
 from fordtrestle.replication.node import Node
 from fordtrestle.replication.state import Evacuation
 from fordtrestle.storage.log import RecordLog, StorageError
@@ -106,3 +107,26 @@
         assert replicator.node.committed_state.sequence == 2
     state = on_disk(tmp_path)
     assert (state.sequence, state.evacuated) == (2, ("z-1", "z-2"))
+
+
+@loopback
+async def test_the_file_is_rewritten_once_it_is_long_and_nothing_is_lost(tmp_path, monkeypatch):
+    monkeypatch.setattr(replicator_module, "REWRITE_LEAST_BYTES", 400)
+    async with stage(tmp_path) as (replicator, disk):
+        for number in range(60):
+            write(replicator, f"z-{number % 3}")
+            await until(lambda: replicator.node.committed_state is not None)
+        assert replicator.node.committed_state.sequence == 60
+        assert disk.size < 5_000
+    state = on_disk(tmp_path)
+    assert (state.sequence, sorted(state.evacuated)) == (60, ["z-0", "z-1", "z-2"])
+
+
+@loopback
+async def test_a_message_to_an_earlier_store_of_this_machine_is_not_taken(tmp_path):
+    async with stage(tmp_path) as (replicator, _):
+        ballot = Ballot(99, "s9")
+        replicator.received(Envelope("s9", "s0", Prepare(ballot)))
+        assert replicator.node.durable.promised < ballot
+        replicator.received(Envelope("s9", "s1", Prepare(ballot)))
+        assert replicator.node.durable.promised == ballot
