Search halves, leaving, replacement and disks that lose; let any store ask who is primary

Need: the search knew pair cuts, crashes and wipes only. It splits the stores in halves both ways and one way, lets stores leave, come beside others, be replaced (planned and not) and come back to a place given away, and rewrites disks ahead of what waits. Membership changes are searched exhaustively.

Cause found beside it: a replica that had installed a state but not yet heard its epoch, whose primary was lost for good, asked nobody and could never stand. Stores that are no replicas as far as they know ask, too.

One guard (earlier witnesses vote) is met too seldom by the wider search and has a schedule now. The schedule was seen to breach without it.

--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -384,18 +384,22 @@
             self._election_at = min(self._election_at, now + ELECTION_JITTER_S * self._draw())
 
     def _start_prevote(self, now: float) -> None:
+        """Ask the witnesses whether they miss the primary, too.
+
+        Stores that are no replicas ask as well: each may be one of an epoch that it has yet to hear of.
+        """
         accepted = self.durable.accepted
         asked = self._prevotes
         self._miss(now)
-        if not (accepted and self.me.id in accepted.replicas):
-            return
         if self._returning and asked is not None:
             self._prevotes = asked  # the same question again: answers may take longer than its repetition
         else:
             self._prevotes, self._newest_ballot = set(), self.durable.promised
             self._prevote_round += 1
-        for witness in sorted({store_id for quorum in accepted.quorums for store_id in quorum}):
-            self._send(witness, wire.PreVote(self._prevote_round))
+        quorums = accepted.quorums if accepted else ()
+        voters = {store_id for quorum in quorums for store_id in quorum} or self._contacts.ids()
+        for voter in sorted(voters):
+            self._send(voter, wire.PreVote(self._prevote_round))
 
     def _answer_prevote(self, sender: str, message: wire.PreVote, now: float) -> None:
         accepted = self.durable.accepted
@@ -407,18 +411,18 @@
             self._send(sender, answer)
 
     def _take_prevote_grant(self, sender: str, message: wire.PreVoteGrant, now: float) -> None:
-        accepted = self.durable.accepted
-        if self._prevotes is None or message.round != self._prevote_round or accepted is None:
+        if self._prevotes is None or message.round != self._prevote_round:
             return
+        known = self.durable.accepted.ballot if self.durable.accepted else NO_BALLOT
         if message.accepted:
             self._write(self.durable.settle(message.accepted))
-        if self.durable.accepted and self.durable.accepted.ballot > accepted.ballot:
+        accepted = self.durable.accepted
+        if accepted is None or accepted.ballot > known:
             self._miss(now)
             return
-        accepted = self.durable.accepted or accepted
         self._prevotes.add(sender)
         self._newest_ballot = max(self._newest_ballot, message.promised)
-        if supported(self._prevotes, accepted.quorums):
+        if self.me.id in accepted.replicas and supported(self._prevotes, accepted.quorums):
             self._prevotes = None
             self._open(accepted, accepted.witnesses, now)
 
--- a/tests/replication/guards.py
+++ b/tests/replication/guards.py
@@ -160,13 +160,13 @@
 
 FOUND_BY_SEARCH: dict[str, Removal] = {
     "a replica leaves no gap": _appends_may_leave_gaps,
-    "earlier witnesses vote until the epoch is known": _earlier_witnesses_are_not_asked,
     "all replicas hold a write before it is acknowledged": _one_replica_is_enough,
     "a majority of witnesses opens an epoch": _one_vote_opens,
     "half of the witnesses are no majority": _half_is_a_majority,
     "a wiped disk is another store": _a_wiped_disk_keeps_its_name,
 }
 FOUND_BY_SCHEDULE: dict[str, Removal] = {
+    "earlier witnesses vote until the epoch is known": _earlier_witnesses_are_not_asked,
     "the state is on all replicas before the epoch": _state_is_not_installed_first,
     "a promise is on disk before it is told": _promises_are_forgotten,
     "promises outlive a restart": _votes_are_lost_at_a_restart,
--- /dev/null
+++ b/tests/replication/stored.py
@@ -0,0 +1,117 @@
+"""The world of control stores over the record log of the program, each on a disk that loses what was not
+synced (`tests/storage/disk.py`). Processes are killed, or machines lose power, at any call to the disk.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from pathlib import Path
+
+from fordtrestle.peer.codec import decode, encode
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.node import Node
+from fordtrestle.storage import log as log_module
+from fordtrestle.storage.log import RecordLog, StorageError
+from tests.replication.world import Machine, World
+from tests.storage.disk import Disk, Stopped
+
+CALLS_MOST = 8  # to the disk, in which a process is ended
+
+
+class StoredWorld(World):
+    """Play it within `disks()`."""
+
+    current: Disk
+
+    def __init__(self, seed: int, machines: int = 1) -> None:
+        self.disks: dict[str, Disk] = {}
+        self.logs: dict[str, RecordLog] = {}
+        super().__init__(seed, machines)
+
+    @contextlib.contextmanager
+    def on(self, machine: Machine) -> Iterator[RecordLog]:
+        """The log of a machine, on its disk."""
+        self.disks.setdefault(machine.address, Disk(self.rng.getrandbits(32)))
+        StoredWorld.current = self.disks[machine.address]
+        yield self.logs.setdefault(machine.address, RecordLog(Path("data")))
+
+    def start(self, machine: Machine) -> None:
+        self.logs.pop(machine.address, None)
+        with self.on(machine) as log:
+            machine.disk = [decode(record) for record in log.open()]
+            if Durable.restore(machine.disk) is None:
+                machine.disk = list(self.new_store(machine).snapshot())
+                log.append(map(encode, machine.disk))
+        super().start(machine)
+
+    def sync(self, machine: Machine) -> None:
+        """Write the oldest effects; the process may end amid that, by a kill or with its machine's power."""
+        records = machine.queue[0].records
+        try:
+            if records:
+                self._write(machine, records)
+        except Stopped:
+            machine.node, machine.queue = None, []
+            self._end(machine)
+            return
+        super().sync(machine)
+
+    def _write(self, machine: Machine, records: list) -> None:
+        with self.on(machine) as log:
+            disk = self.disks[machine.address]
+            if self.rng.random() < self.trouble / 3:
+                disk.stop_at = len(disk.calls) + self.rng.randint(1, CALLS_MOST)
+            refused = self.rng.random() < self.trouble / 10
+            disk.refuse = {self.rng.choice(("pwrite", "fdatasync"))} if refused else set()
+            try:
+                log.append(map(encode, records))
+            except StorageError:
+                disk.refuse = set()
+                log.rewrite(map(encode, machine.node.durable.snapshot()))
+            disk.stop_at = None
+
+    def heal(self, seconds: float = 30.0) -> Node:
+        self.trouble = 0.0
+        return super().heal(seconds)
+
+    def stop(self, machine: Machine) -> None:
+        super().stop(machine)
+        self._end(machine)
+
+    def _end(self, machine: Machine) -> None:
+        disk = self.disks[machine.address]
+        if self.rng.random() < 0.5:
+            disk.kill()
+        else:
+            disk.lose_power()
+
+    def wipe(self, machine: Machine) -> None:
+        super().wipe(machine)
+        self.disks[machine.address] = Disk(self.rng.getrandbits(32))
+
+    def _rewrite(self) -> None:
+        up = [machine for machine in self.machines if machine.node]
+        if up:
+            machine = self.rng.choice(up)
+            with self.on(machine) as log:
+                log.rewrite(map(encode, machine.node.durable.snapshot()))
+            machine.disk = list(machine.node.durable.snapshot())
+
+
+class _Current:
+    """The calls of `os`, at the disk of the machine that is at work."""
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(StoredWorld.current, name)
+
+
+@contextlib.contextmanager
+def disks() -> Iterator[None]:
+    """Let record logs write to the disks of the world."""
+    machine_os = log_module.os
+    log_module.os = _Current()  # type: ignore[assignment]
+    try:
+        yield
+    finally:
+        log_module.os = machine_os
--- a/tests/replication/test_exhaustive.py
+++ b/tests/replication/test_exhaustive.py
@@ -1,4 +1,5 @@
-"""All interleavings of a few steps of three stores, from the moment in which a write is proposed.
+"""All interleavings of a few steps of three stores, from the moment in which a write is proposed, or in which
+a new store is about to take the place of one whose disk was lost.
 
 A step syncs one store's oldest records, delivers the oldest message of one link, cuts a store's power (what
 was not synced is gone), starts it again, wipes its disk, or lets a store miss its primary. States that were
@@ -8,7 +9,7 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -17,6 +18,8 @@
 from tests.replication.world import Breach, World
 
 DEPTH = 6
+CHANGE_DEPTH = 5  # seven by hand
+FOUND_DEPTH = 4
 CRASHES_MOST = 2
 
 Step = tuple[str, int]
@@ -29,6 +32,18 @@
     return script
 
 
+def start_of_a_change() -> Script:
+    """A primary with an acknowledged write that has just begun to admit a store in the place of C's."""
+    script = Script()
+    assert script.acknowledge(script.a, script.b)
+    script.wipe(script.c)
+    script.start(script.c)
+    script.announce(script.c)
+    script.tick(script.a, 0.05)
+    assert script.a.node._opening
+    return script
+
+
 def steps(world: World) -> Iterator[Step]:
     """What may happen next."""
     links = {(envelope.sender, envelope.receiver) for envelope in world.pending}
@@ -83,9 +98,9 @@
     return "|".join(parts)
 
 
-def explore(depth: int) -> int:
+def explore(depth: int, begin: Callable[[], Script] = start) -> int:
     """Go through all interleavings of so many steps; how many states were met. Raises `Breach`."""
-    first = start()
+    first = begin()
     first.crashes = 0
     level, met = [first], {mark(first)}
     for _ in range(depth):
@@ -109,8 +124,12 @@
     assert explore(DEPTH) > 1000
 
 
+def test_no_interleaving_of_a_change_of_members_loses_what_was_acknowledged():
+    assert explore(CHANGE_DEPTH, start_of_a_change) > 300
+
+
 def test_the_exploration_can_fail(monkeypatch):
     FOUND_BY_SEARCH["all replicas hold a write before it is acknowledged"](monkeypatch)
     FOUND_BY_SCHEDULE["nothing is told before it is synced"](monkeypatch)
     with pytest.raises(Breach):
-        explore(DEPTH)
+        explore(FOUND_DEPTH)
--- a/tests/replication/test_hard_cases.py
+++ b/tests/replication/test_hard_cases.py
@@ -237,6 +237,32 @@
     script.settle()
 
 
+def earlier_witnesses_vote_until_the_epoch_is_known() -> None:
+    """A, cut off from B, takes a new store for a witness in the place of C, which is down. B and C know of
+    nothing.
+    """
+    script = Script()
+    a, b, c = script.a, script.b, script.c
+    script.stop(c)
+    new = Machine("10.0.0.9:1", now=a.now, wiped=True)
+    script.machines.append(new)
+    script.start(new)
+    base = a.node.durable.accepted
+    a.node._open(base, tuple(new.node.me if s.address == c.address else s for s in base.witnesses), a.now)
+    for _ in range(3):
+        script.pump(a)
+        script.flow(a, new)
+        script.announce(new)
+        script.tick(a, REPEAT_S)
+    script.acknowledge(a, new)
+    script.start(c)
+    for machine in (c, b):
+        script.tick(machine, 3.0)
+    script.flow(b, c)
+    script.check()
+    script.settle()
+
+
 def nothing_is_acknowledged_with_too_few_replicas() -> None:
     """The founder alone takes a write, and loses its disk."""
     world = World(seed=1)
@@ -252,6 +278,7 @@
 
 
 SCHEDULES = {
+    "earlier witnesses vote until the epoch is known": earlier_witnesses_vote_until_the_epoch_is_known,
     "the state is on all replicas before the epoch": the_state_is_on_all_replicas_before_the_epoch,
     "a promise is on disk before it is told": a_promise_is_on_disk,
     "promises outlive a restart": a_promise_is_on_disk,
--- a/tests/replication/test_search.py
+++ b/tests/replication/test_search.py
@@ -17,9 +17,9 @@
 SEEDS_MOST = 1500  # that a breach may take to be found
 
 
-def play(seed: int, machines: int) -> int:
+def play(seed: int, machines: int, kind: type[World] = World) -> int:
     """Play one schedule and let it heal; how many writes were acknowledged."""
-    world = World(seed, machines)
+    world = kind(seed, machines)
     for _ in range(STEPS):
         world.step()
     primary = world.heal()
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -17,7 +17,13 @@
 from fordtrestle.replication.state import Evacuation
 
 PENDING_MOST = 400
-DISTURBANCES = ("drop", "double", "hurry", "crash", "crash_all", "wipe", "cut", "hold")
+FOUNDER = "10.0.0.0:1"
+SPARES_MOST = 2  # machines beyond those that are wanted
+GRACE_S = 6.0  # for which a store that leaves may stay
+DISTURBANCES = (
+    *("drop", "double", "hurry", "crash", "crash_all", "wipe", "cut", "split", "hold", "rewrite"),
+    *("leave", "add", "replace"),
+)
 
 
 class Breach(AssertionError):
@@ -34,6 +40,8 @@
     queue: list[Effects] = field(default_factory=list)
     now: float = 0.0
     wiped: bool = False  # and not yet a witness again
+    leaving_since: float | None = None
+    gone_for_good: bool = False  # once it has left
 
 
 @dataclass(frozen=True)
@@ -70,7 +78,7 @@
         self.pending: list[Envelope] = []
         self.cut: set[tuple[str, str]] = set()
         self.writes: list[Write] = []
-        self.stores = 0
+        self.stores = self.addresses = 0
         self.reads: list[tuple[Node, int, list[Write]]] = []  # node, round, what was acknowledged by then
         for machine in self.machines:
             self.start(machine)
@@ -96,7 +104,8 @@
             draw=self.rng.random,
             now=machine.now,
         )
-        if machine is self.machines[0] and durable.is_blank and not machine.wiped:
+        machine.leaving_since, machine.gone_for_good = None, False
+        if machine.address == FOUNDER and durable.is_blank and not machine.wiped:
             machine.node.found(machine.now)
             self.pump(machine)
 
@@ -114,7 +123,13 @@
         """Whether the loss of this disk is still within what is tolerated."""
         self.readmit()
         lost = sum(other.wiped for other in self.machines if other is not machine)
-        return lost < self.tolerated and not machine.wiped and self.is_whole()
+        others = {held.store for m in self.machines if m is not machine and (held := self.held(m))}
+        gone = sum(store_id not in others for store_id in self.newest().witness_ids) if self.newest() else 0
+        return max(lost + 1, gone) <= self.tolerated and not machine.wiped and self.is_whole()
+
+    def held(self, machine: Machine) -> Durable | None:
+        """What is on a machine's disk."""
+        return Durable.restore(machine.disk)
 
     def newest(self) -> Epoch | None:
         """The newest epoch that is open."""
@@ -137,7 +152,7 @@
             return False
         knowing = set()
         for machine in self.machines:
-            held = Durable.restore(machine.disk)
+            held = self.held(machine)
             if held and held.accepted and held.accepted.ballot == epoch.ballot and not held.accepted.earlier:
                 knowing.add(held.store)
         return majority(knowing, epoch.witness_ids)
@@ -194,9 +209,31 @@
         del self.reads[:-20]
         self.pump(machine)
 
+    def let_leave(self) -> None:
+        """End the stores that may leave, and those whose grace is over."""
+        for machine in list(self.machines):
+            if machine.leaving_since is None or machine.node is None:
+                continue
+            if machine.node.may_leave(machine.now):
+                self.end(machine, is_lost=False)
+            elif machine.now - machine.leaving_since > GRACE_S:
+                self.end(machine, is_lost=True)
+
+    def end(self, machine: Machine, is_lost: bool) -> None:
+        """A process has ended by itself; its machine may be gone with it, if that is tolerated or no loss."""
+        newest = self.newest()
+        is_witness = newest is None or machine.node.me.id in newest.witness_ids
+        may_go = self.may_wipe(machine) or not (is_witness or is_lost)
+        may_go = machine.gone_for_good and may_go and self.is_whole()
+        self.stop(machine)
+        machine.leaving_since, machine.gone_for_good = None, False
+        if may_go:
+            self.machines.remove(machine)
+
     def step(self) -> None:
         """One action, drawn; what is likely keeps the system going, the rest disturbs it."""
         rng = self.rng
+        self.let_leave()
         if rng.random() < self.trouble:
             self.disturb()
             self.check()
@@ -270,6 +307,59 @@
             one, other = self.rng.sample(ids, 2)
             self.cut = {(one, other)} if self.rng.random() < 0.5 else {(one, other), (other, one)}
 
+    def _split(self) -> None:
+        """Cut some off from all others, both ways or one way."""
+        ids = [machine.node.me.id for machine in self.machines if machine.node]
+        if self.cut:
+            self.cut.clear()
+        elif len(ids) > 1:
+            some = set(self.rng.sample(ids, self.rng.randint(1, len(ids) - 1)))
+            ways = self.rng.choice(((1, 0), (0, 1), (1, 1)))
+            for one in some:
+                for other in set(ids) - some:
+                    self.cut |= {(one, other)} if ways[0] else set()
+                    self.cut |= {(other, one)} if ways[1] else set()
+
+    def _rewrite(self) -> None:
+        """A disk that had got long, or refused, is given a snapshot, which may be ahead of what waits."""
+        up = [machine for machine in self.machines if machine.node]
+        if up:
+            machine = self.rng.choice(up)
+            machine.disk = list(machine.node.durable.snapshot())
+
+    def _leave(self) -> None:
+        up = [machine for machine in self.machines if machine.node and machine.leaving_since is None]
+        if up:
+            machine = self.rng.choice(up)
+            machine.node.leave(machine.now)
+            machine.leaving_since = machine.now
+            self.pump(machine)
+
+    def _add(self) -> None:
+        """A machine comes that nobody has asked for: one that is down may find its place given away."""
+        if len(self.machines) < 2 * self.tolerated + 1 + SPARES_MOST:
+            self.addresses += 1
+            now = max(machine.now for machine in self.machines)
+            machine = Machine(f"10.0.1.{self.addresses}:1", now=now, wiped=True)
+            self.machines.append(machine)
+            self.start(machine)
+
+    def _replace(self) -> None:
+        """Another machine comes in the place of one: planned, before that one leaves, or after it is gone."""
+        up = [machine for machine in self.machines if machine.node and machine.leaving_since is None]
+        if not up:
+            return
+        machine = self.rng.choice(up)
+        if self.rng.random() < 0.6:
+            self._add()
+            machine.node.leave(machine.now)
+            machine.leaving_since, machine.gone_for_good = machine.now, True
+            self.pump(machine)
+        elif len(self.machines) > 1 and self.may_wipe(machine):
+            self.machines.remove(machine)
+            machine.node = None
+            self._add()
+
     def _hold(self) -> None:
         """The newest messages go first for a while: the older ones are late."""
         self.late = not self.late
@@ -307,6 +397,8 @@
         """Let all machines run undisturbed; the primary that comes of it."""
         self.cut.clear()
         for machine in self.machines:
+            if machine.leaving_since is not None:
+                self.stop(machine)
             if not machine.node:
                 self.start(machine)
         start = max(machine.now for machine in self.machines)
