--- a/fordtrestle/dissemination/catalog.py
+++ b/fordtrestle/dissemination/catalog.py
@@ -1,7 +1,8 @@
 """The newest item of each key, and its reconciliation with another process's by digests of ranges.
 
 Bounded: at most `ITEMS_MOST` keys. Items of what is gone stay as tombstones as long as an old message may
-travel.
+travel, those of servers that nobody hears any more for longer. Each process forgets them by its own clock,
+and takes them back from nobody who has yet to forget them.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 DIGEST_BYTES = 8
 ITEMS_MOST = 20_000
 TOMBSTONE_S = 120.0
+UNHEARD_S = 600.0  # for servers that have fallen silent, or drain and never say that they are gone
 
 
 def range_of(key: str) -> int:
@@ -47,13 +49,24 @@
     return isinstance(value, MemberRecord) and value.availability is Availability.DOWN
 
 
+def lasts_s(item: Item) -> float | None:
+    """For how long an item is remembered that is followed by no newer one; nothing where for good."""
+    if is_tombstone(item):
+        return TOMBSTONE_S
+    value = item.value
+    if isinstance(value, ServerRecord) and (value.silent or value.phase is Phase.DRAINING):
+        return UNHEARD_S
+    return None
+
+
 class Catalog:
     """All items that one process holds."""
 
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
         self._digests = [0] * RANGES  # XOR of the fingerprints of a range's items
-        self._taken_at: dict[str, float] = {}  # of tombstones
+        self._ends_at: dict[str, float] = {}  # of items that do not last for good
+        self._forgotten: dict[str, tuple[Version, float]] = {}  # of what was forgotten, and until when
 
     def get(self, key: str) -> Item | None:
         """The newest item of a key."""
@@ -84,6 +97,8 @@
             known = self._items.get(item.key)
             if known and known.version >= item.version:
                 continue
+            if item.key in self._forgotten and item.version <= self._forgotten[item.key][0]:
+                continue
             if known is None and len(self._items) >= ITEMS_MOST:
                 continue
             self._put(known, item, now)
@@ -91,12 +106,16 @@
         return fresh
 
     def expire(self, now: float) -> None:
-        """Forget tombstones that no old message can contradict any more."""
-        for key, at in list(self._taken_at.items()):
-            if now - at > TOMBSTONE_S:
+        """Forget what is gone once no old message can contradict it any more."""
+        for key, (_, until) in list(self._forgotten.items()):
+            if now > until:
+                del self._forgotten[key]
+        for key, at in list(self._ends_at.items()):
+            if now > at:
                 item = self._items.pop(key)
                 self._digests[range_of(key)] ^= _fingerprint(item)
-                del self._taken_at[key]
+                del self._ends_at[key]
+                self._forgotten[key] = (item.version, now + TOMBSTONE_S)
 
     def digests(self) -> RangeDigests:
         """What tells another process whether it holds the same."""
@@ -149,7 +168,8 @@
             self._digests[range_of(item.key)] ^= _fingerprint(known)
         self._digests[range_of(item.key)] ^= _fingerprint(item)
         self._items[item.key] = item
-        if is_tombstone(item):
-            self._taken_at[item.key] = now
+        lasts = lasts_s(item)
+        if lasts is None:
+            self._ends_at.pop(item.key, None)
         else:
-            self._taken_at.pop(item.key, None)
+            self._ends_at[item.key] = now + lasts
--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -2,32 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Collection
 
 from aiohttp import web
 
 from fordtrestle.dissemination.catalog import Catalog
-from fordtrestle.dissemination.items import Availability, MemberRecord
+from fordtrestle.routing.fronts import SETTLED_S, choose_fronts
 
 ADDRESSES_MOST = 64
 TTL_S = 1.0
 
 
-def choose_fronts(
-    members: Collection[MemberRecord], in_touch: Collection[str], region: str, zone: str
-) -> list[MemberRecord]:
-    """The sidecars for a client: those of its zone, else of its region, else all; those in touch first."""
-    ready = [member for member in members if member.front and member.availability is Availability.READY]
-    heard = [member for member in ready if member.node in in_touch]
-    for among in (heard, ready):
-        near = [member for member in among if member.zone == zone]
-        near = near or [member for member in among if member.region == region]
-        if near or among:
-            return near or among
-    return []
-
-
 class Directory:
     """Answers from the catalog."""
 
@@ -37,6 +24,7 @@
         self._catalog = catalog
         self._in_touch = in_touch
         self._ttl_s = min(TTL_S, ttl_most_s)
+        self._settled_at = asyncio.get_running_loop().time() + SETTLED_S
         self._rng = rng
 
     def application(self) -> web.Application:
@@ -48,7 +36,8 @@
     async def _resolve(self, request: web.Request) -> web.StreamResponse:
         members = [member for member, _ in self._catalog.members()]
         region, zone = request.query.get("region", ""), request.query.get("zone", "")
-        fronts = choose_fronts(members, self._in_touch(), region, zone)
+        settled = asyncio.get_running_loop().time() >= self._settled_at
+        fronts = choose_fronts(members, self._in_touch(), region, zone, settled)
         if not fronts:
             return web.json_response({"errors": ["no sidecar is ready"]}, status=503)
         drawn = self._rng.sample(fronts, min(len(fronts), ADDRESSES_MOST))
--- a/fordtrestle/replication/contacts.py
+++ b/fordtrestle/replication/contacts.py
@@ -56,12 +56,16 @@
             if contact.counts and not contact.leaving and store_id in others
         ]
 
-    def gives_up_place(self, store_id: str, since: float, now: float) -> bool:
-        """Whether a witness's place may be given away: it is about to end, or has said nothing for so long.
-
-        One that was never heard counts from `since`.
+    def giving_up(self, witnesses: Iterable[str], since: float, now: float) -> list[str]:
+        """The witnesses whose places may be given away: first those that have said nothing for so long, the
+        longest silent first, then those that are about to end. Those never heard count from `since`.
         """
+        heard = {store_id: self._heard(store_id, since) for store_id in witnesses}
+        silent = sorted((at, store_id) for store_id, at in heard.items() if now - at > REPLACE_S)
+        first = [store_id for _, store_id in silent]
+        leaving = self.leaving()
+        return first + sorted(store_id for store_id in heard if store_id in leaving and store_id not in first)
+
+    def _heard(self, store_id: str, since: float) -> float:
         contact = self._contacts.get(store_id)
-        if contact and contact.leaving:
-            return True
-        return now - (contact.heard if contact else since) > REPLACE_S
+        return contact.heard if contact else since
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -125,13 +125,7 @@
         staying = self._contacts.live(now) - self._contacts.leaving() - {self.me.id}
         if not staying:
             return True
-        accepted = self.durable.accepted
-        if (
-            self._leadership
-            or self._opening
-            or epoch is None
-            or (accepted and accepted.ballot > epoch.ballot)
-        ):
+        if self._leadership or self._opening or epoch is None or self.durable.promised > epoch.ballot:
             return False
         waiting = self._contacts.newcomers(epoch.witness_ids, now)
         needed = epoch.witness_ids if waiting else epoch.replicas
@@ -341,11 +335,8 @@
 
     def _plan(self, epoch: Epoch, now: float) -> tuple[Store, ...]:
         """The witnesses that the epoch should have."""
-        giving_up = {
-            store_id
-            for store_id in epoch.witness_ids
-            if store_id != self.me.id and self._contacts.gives_up_place(store_id, self._heard_primary, now)
-        }
+        others = [store_id for store_id in epoch.witness_ids if store_id != self.me.id]
+        giving_up = self._contacts.giving_up(others, self._heard_primary, now)
         newcomers = self._contacts.newcomers(epoch.witness_ids, now)
         return plan_witnesses(epoch, newcomers, giving_up, self._target)
 
--- a/fordtrestle/replication/opening.py
+++ b/fordtrestle/replication/opening.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from fordtrestle.replication.epochs import Ballot, Epoch, Store, choose_replicas, supported
@@ -132,21 +132,41 @@
 
 
 def plan_witnesses(
-    epoch: Epoch, newcomers: Iterable[Store], giving_up: set[str], target: int
+    epoch: Epoch, newcomers: Iterable[Store], giving_up: Sequence[str], target: int
 ) -> tuple[Store, ...]:
     """The witnesses that the next epoch should have.
 
     A store in the machine of another takes that one's place: its disk was lost. Others fill up to `target`,
-    or take the place of one that gives it up (`Contacts.gives_up_place`).
+    or take the place of one that gives it up, in the order of `giving_up`: with a place that is lost filled
+    first, the loss of the newcomer as well leaves a majority. Stores of zones without a witness go first, and
+    take a place from a zone that has several, so that the loss of a zone leaves a majority.
     """
     planned = list(epoch.witnesses)
-    for newcomer in newcomers:
-        same = [index for index, store in enumerate(planned) if store.address == newcomer.address]
-        gone = [index for index, store in enumerate(planned) if store.id in giving_up]
-        if same:
-            planned[same[0]] = newcomer
+    waiting = list(newcomers)
+    while waiting:
+        newcomer = min(waiting, key=lambda store: (store.zone in {held.zone for held in planned}, store.id))
+        waiting.remove(newcomer)
+        place = _place_for(newcomer, planned, giving_up, epoch.replicas)
+        if place is not None:
+            planned[place] = newcomer
         elif len(planned) < target:
             planned.append(newcomer)
-        elif gone:
-            planned[gone[0]] = newcomer
     return tuple(planned)
+
+
+def _place_for(
+    newcomer: Store, planned: Sequence[Store], giving_up: Sequence[str], replicas: Sequence[str]
+) -> int | None:
+    """The place of which witness a new store may take."""
+    ids = [store.id for store in planned]
+    for index, store in enumerate(planned):
+        if store.address == newcomer.address:
+            return index
+    for store_id in giving_up:
+        if store_id in ids:
+            return ids.index(store_id)
+    zones = [store.zone for store in planned]
+    if newcomer.zone in zones:
+        return None
+    spare = (i for i, store in enumerate(planned) if zones.count(store.zone) > 1 and store.id not in replicas)
+    return next(spare, None)
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from fordtrestle.dissemination.catalog import UNHEARD_S
 from fordtrestle.dissemination.items import Phase, ServerRecord, Version
 
 MS_PER_S = 1000.0
@@ -103,9 +104,12 @@
                 server.cold_until = max(server.cold_until, until)
 
     def forget(self, now: float) -> None:
-        """Drop servers that are gone for good."""
+        """Drop servers that are gone for good, and those that the catalog forgets."""
         for instance, server in list(self._servers.items()):
-            gone = server.record.phase is Phase.GONE and now - server.told_at > FORGET_S
+            record = server.record
+            gone = record.phase is Phase.GONE and now - server.told_at > FORGET_S
+            unheard = record.silent or record.phase is Phase.DRAINING
+            gone = gone or (unheard and now - server.told_at > UNHEARD_S)
             if gone and server.in_flight == 0:
                 del self._servers[instance]
                 self._by_service[server.record.service].pop(instance, None)
--- a/tests/dissemination/test_catalog.py
+++ b/tests/dissemination/test_catalog.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from fordtrestle.dissemination import catalog as catalog_module
-from fordtrestle.dissemination.catalog import TOMBSTONE_S, Catalog, range_of
+from fordtrestle.dissemination.catalog import TOMBSTONE_S, UNHEARD_S, Catalog, range_of
 from fordtrestle.dissemination.items import (
     Availability,
     ControlView,
@@ -111,6 +111,40 @@
     assert catalog.digests() == other.digests()
 
 
+def test_what_one_process_has_forgotten_is_not_taken_back_from_another_that_has_not():
+    """Each would go on giving it to the other, and none would ever forget it."""
+    one, other = Catalog(), Catalog()
+    one.merge([server(phase=Phase.GONE)], 0.0)
+    other.merge([server(phase=Phase.GONE)], 1.0)
+    for tenth in range(10 * int(TOMBSTONE_S), 10 * int(TOMBSTONE_S) + 30):
+        now = tenth / 10
+        for catalog, peer in ((one, other), (other, one)):
+            catalog.expire(now)
+            messages = [(peer, catalog, catalog.digests())]
+            while messages:
+                receiver, sender, message = messages.pop(0)
+                if isinstance(message, Update):
+                    receiver.merge(message.items, now)
+                messages += [(sender, receiver, answer) for answer in receiver.answer(message)]
+    assert not held(one) and not held(other)
+    assert one.merge([server(sequence=1, phase=Phase.GONE)], 3 * TOMBSTONE_S) == [], "an old word travels yet"
+    one.expire(3 * TOMBSTONE_S)
+    assert one.merge([server(sequence=1)], 3 * TOMBSTONE_S)
+
+
+def test_servers_that_nobody_hears_any_more_are_forgotten_and_heard_again():
+    catalog = Catalog()
+    items = [server("i-1", silent=True), server("i-2", phase=Phase.DRAINING), server("i-3")]
+    catalog.merge(items, 0.0)
+    catalog.expire(UNHEARD_S)
+    assert len(held(catalog)) == 3
+    catalog.expire(UNHEARD_S + 1.0)
+    assert set(held(catalog)) == {"server/i-3"}
+    assert catalog.merge([server("i-1", sequence=2)], UNHEARD_S + 2.0)
+    catalog.expire(3 * UNHEARD_S)
+    assert set(held(catalog)) == {"server/i-1", "server/i-3"}, "those that are heard last for good"
+
+
 def test_the_catalog_is_bounded(monkeypatch):
     monkeypatch.setattr(catalog_module, "ITEMS_MOST", 2)
     catalog = Catalog()
--- /dev/null
+++ b/tests/replication/test_opening.py
@@ -0,0 +1,103 @@
+"""Which stores an epoch should have: what a candidate and a primary choose among."""
+
+from __future__ import annotations
+
+from fordtrestle.replication.contacts import REPLACE_S, Contacts
+from fordtrestle.replication.epochs import Ballot, Epoch, Store, choose_replicas
+from fordtrestle.replication.messages import Accept, Announce, Install, Promised
+from fordtrestle.replication.opening import Opening, plan_witnesses
+from fordtrestle.replication.state import ControlState
+
+A, B, C, D, E = (Store(name, f"10.0.0.{n}:1", "", f"z-{n % 3}") for n, name in enumerate("abcde"))
+EPOCH = Epoch(Ballot(3, "a"), "a", ("a", "b"), (A, B, C))
+HELD = (Ballot(3, "a"), 7)
+
+
+def test_a_lost_disk_gives_its_place_to_the_store_on_the_same_machine():
+    again = Store("b2", B.address, "", B.zone)
+    assert plan_witnesses(EPOCH, [D, again], [], 3) == (A, again, C)
+
+
+def test_a_place_that_is_lost_is_filled_before_one_whose_store_is_about_to_end():
+    contacts = Contacts()
+    for store, at in ((A, 10.0), (B, 5.0), (C, 10.0)):
+        contacts.meet(Announce(store, True, store is C), at)
+    giving_up = contacts.giving_up(EPOCH.witness_ids, 0.0, 10.0)
+    assert giving_up == ["b", "c"]
+    assert plan_witnesses(EPOCH, [D], giving_up, 3) == (A, D, C)
+    assert set(plan_witnesses(EPOCH, [D, E], giving_up, 3)) == {A, D, E}
+    assert contacts.giving_up(EPOCH.witness_ids, 0.0, 5.0 + REPLACE_S) == ["c"]
+
+
+def test_nobody_takes_a_place_that_is_not_given_up():
+    assert plan_witnesses(EPOCH, [D, E], [], 3) == (A, B, C)
+
+
+def test_stores_of_zones_without_a_witness_go_first_and_take_a_place_of_a_zone_with_several():
+    near = Store("b", B.address, "", A.zone)
+    epoch = Epoch(Ballot(3, "a"), "a", ("a",), (A,))
+    assert plan_witnesses(epoch, [near, C, Store("x", "10.0.0.9:1", "", "z-1")], [], 3)[1].zone != A.zone
+    crowded = Epoch(Ballot(3, "a"), "a", ("a", "c"), (A, near, C))
+    other = Store("x", "10.0.0.9:1", "", "z-1")
+    assert plan_witnesses(crowded, [other], [], 3) == (A, other, C)
+    replicas = Epoch(Ballot(3, "a"), "a", ("a", "b"), (A, near, C))
+    assert plan_witnesses(replicas, [other], [], 3) == (A, near, C), "a replica keeps its place"
+
+
+def test_replicas_hold_the_state_mean_to_stay_and_lie_in_zones_of_their_own():
+    assert choose_replicas(A, [A, B, C, D], {"b", "c", "d"}, (), 2) == ("a", "b")
+    assert choose_replicas(A, [A, B, C, D], {"c"}, (), 2) == ("a", "c")
+    assert choose_replicas(A, [A, B, C, D], {"b", "c"}, {"b"}, 2) == ("a", "c")
+    assert choose_replicas(A, [A, B, D], {"b", "d"}, {"b"}, 2) == ("a", "d"), "a zone twice"
+    assert choose_replicas(A, [A, B], {"b"}, {"b"}, 2) == ("a", "b"), "nobody else is there"
+
+
+def opening(leaving=frozenset()):
+    return Opening(A, Ballot(4, "a"), EPOCH, EPOCH.witnesses, 2, leaving, began=0.0)
+
+
+def promise(from_, position=HELD):
+    return Promised(Ballot(4, "a"), EPOCH, *position)
+
+
+def kinds(messages):
+    return {type(message) for _, message in messages}
+
+
+def test_a_candidate_waits_for_stores_that_hold_its_state_and_then_does_without():
+    state = ControlState(sequence=7)
+    behind = (Ballot(2, "b"), 5)
+    patient = opening()
+    patient.receive("a", promise("a"), state)
+    assert patient.receive("b", promise("b", behind), state) == [], "C may hold it"
+    assert kinds(patient.receive("c", promise("c"), state)) == {Accept}
+    assert patient.proposed.replicas == ("a", "c") and patient.proposed.kept == HELD
+    tired = opening()
+    tired.receive("a", promise("a"), state)
+    tired.receive("b", promise("b", behind), state)
+    assert Install in kinds(tired.repeat(state))
+
+
+def test_a_candidate_goes_on_at_once_where_nobody_is_left_to_wait_for():
+    state = ControlState(sequence=7)
+    trial = opening(leaving=frozenset(("b", "c")))
+    trial.receive("a", promise("a"), state)
+    trial.receive("b", promise("b"), state)
+    assert kinds(trial.receive("c", promise("c"), state)) == {Accept}
+
+
+def test_a_candidate_that_has_not_synced_its_own_promise_installs_nothing():
+    state = ControlState(sequence=7)
+    trial = opening()
+    trial.receive("b", promise("b"), state)
+    assert trial.receive("c", promise("c"), state) == []
+    assert kinds(trial.receive("a", promise("a"), state)) == {Accept}
+
+
+def test_whole_states_are_repeated_at_doubled_pauses():
+    state = ControlState(sequence=7)
+    trial = opening()
+    for store in "abc":
+        trial.receive(store, promise(store, (Ballot(1, store), 1)), state)
+    sent = [bool(trial.repeat(state)) for _ in range(16)]
+    assert [number for number, was in enumerate(sent, start=1) if was] == [1, 2, 4, 8, 16]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -79,6 +79,7 @@
     "replication/node.py",
     "replication/opening.py",
     "replication/state.py",
+    "routing/fronts.py",
     "routing/pick.py",
     "routing/reading.py",
     "routing/selection.py",
