Watch the primary in a module of its own; tell figures where the settings ask for them

No change of behaviour: searches, schedules and times as before. Tests: test_metrics.py; guards fitted to the new file.

--- a/fordtrestle/admission/window.py
+++ b/fordtrestle/admission/window.py
@@ -37,6 +37,14 @@
         """A server said that it did not run the request for want of room (503 or 429, `X-Not-Executed`)."""
         self._window(callee).add(now * MS_PER_S, 0.0)
 
+    def figures(self) -> dict[str, float]:
+        """Requests and accepts in all windows, as of the newest of each."""
+        windows = self._windows.values()
+        return {
+            "window_requests": sum(window.requests for window in windows),
+            "window_accepts": sum(window.accepts for window in windows),
+        }
+
     def _window(self, callee: str) -> Throttle:
         window = self._windows.get(callee)
         if window is None:
--- a/fordtrestle/peer/replicator.py
+++ b/fordtrestle/peer/replicator.py
@@ -41,6 +41,11 @@
         self._rewrite_above = REWRITE_LEAST_BYTES  # bytes of the file
         self._peers: dict[str, str] = {}  # by store: HOST:PORT of its process
 
+    @property
+    def log_bytes(self) -> int:
+        """What the file of records holds."""
+        return self._log.size
+
     @staticmethod
     def now() -> float:
         """Seconds of the steady clock."""
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -17,13 +17,10 @@
 from fordtrestle.replication.leadership import Leadership
 from fordtrestle.replication.messages import Message, Record
 from fordtrestle.replication.opening import Opening, Outgoing, plan_witnesses
+from fordtrestle.replication.primary_watch import PrimaryWatch
 from fordtrestle.replication.state import Change, ControlState
 
 HEARTBEAT_S = 0.25
-ELECTION_S = 1.2  # without a heartbeat for so long a replica asks whether others miss it, too
-RETURN_S = 0.2  # between the questions of a primary that has started anew
-ELECTION_RANK_S = 0.4  # later by so much for each backup before it, so that they do not collide
-ELECTION_JITTER_S = 0.2
 REPEAT_S = 0.4
 OPENING_MOST_S = 2.5  # an opening that takes longer is begun anew,
 INSTALL_MOST_S = 20.0  # unless the whole state is on its way to replicas that are live
@@ -67,23 +64,16 @@
         self._target = 2 * machines + 1
         self._replicas = machines + 1
         self._counts = counts
-        self._draw = draw  # uniform in [0, 1)
         self._effects = Effects()
         self._contacts = Contacts()
         self._leadership: Leadership | None = None  # as primary
         self._opening: Opening | None = None
-        self._heartbeat_at = self._election_at = self._repeat_at = now
+        self._heartbeat_at = self._repeat_at = now
         self._round = 0  # of heartbeats, as primary
         self._prevotes: set[str] | None = None
         self._prevote_round = 0
         self._newest_ballot = NO_BALLOT
-        self._leaving = False
-        self._heard_primary = now
-        self._led_by: Store | None = None  # whose heartbeat was heard, at `_heard_primary`
-        self._primary_lost = ""  # a primary that has ended, or whose machine holds another store by now
-        # Whether this store was primary and has started anew: nobody else is primary of that epoch.
-        self._returning = bool(durable.accepted and durable.accepted.primary == me.id)
-        self._miss(now)
+        self._watch = PrimaryWatch(me.id, durable.accepted, draw, now)
 
     # what callers ask
 
@@ -110,10 +100,7 @@
 
     def reachable_primary(self, now: float) -> Store | None:
         """Another store that was heard to be primary lately; nothing where callers had better try anyone."""
-        led_by = self._led_by
-        if led_by is None or led_by.id == self._primary_lost or now - self._heard_primary > ELECTION_S:
-            return None
-        return led_by
+        return self._watch.reachable(now)
 
     def may_leave(self, now: float) -> bool:
         """Whether this store may end: as far as it knows, an epoch is open that needs it no more.
@@ -162,7 +149,7 @@
 
     def leave(self, now: float) -> None:
         """Make ready to end: stay until `may_leave`, as a voter and with the state, but lead no more."""
-        self._leaving = True
+        self._watch.leaving = True
         leadership = self._leadership
         if leadership is None:
             return
@@ -197,7 +184,7 @@
         elif self._leadership:
             if not stalled:
                 self._tend_epoch(self._leadership, now)
-        elif not stalled and now >= self._election_at:
+        elif not stalled and self._watch.is_due(now):
             self._start_prevote(now)
         if not (self._opening or stalled) and now >= self._heartbeat_at:
             self._beat(now)
@@ -259,7 +246,7 @@
 
     def _yield_to(self, ballot: Ballot, now: float) -> None:
         """Another store acts under this ballot: an older primary or candidate is none any more."""
-        self._returning = False
+        self._watch.is_returning = False
         if self._leadership and ballot > self._leadership.epoch.ballot:
             self._step_down(now)
         if self._opening and ballot > self._opening.ballot:
@@ -282,9 +269,7 @@
         self.epoch = epoch
         if sender == self.me.id:
             return
-        self._heard_primary = now
-        self._led_by = epoch.store(epoch.primary)
-        self._primary_lost = ""
+        self._watch.heard(epoch.store(epoch.primary), now)
         self._yield_to(epoch.ballot, now)
 
     # primary
@@ -336,7 +321,7 @@
     def _plan(self, epoch: Epoch, now: float) -> tuple[Store, ...]:
         """The witnesses that the epoch should have."""
         others = [store_id for store_id in epoch.witness_ids if store_id != self.me.id]
-        giving_up = self._contacts.giving_up(others, self._heard_primary, now)
+        giving_up = self._contacts.giving_up(others, self._watch.heard_at, now)
         newcomers = self._contacts.newcomers(epoch.witness_ids, now)
         return plan_witnesses(epoch, newcomers, giving_up, self._target)
 
@@ -344,14 +329,7 @@
 
     def _miss(self, now: float) -> None:
         """Wait for the primary once more before anything is done about it."""
-        accepted = self.durable.accepted
-        backups = [store for store in accepted.replicas if store != accepted.primary] if accepted else []
-        rank = backups.index(self.me.id) if self.me.id in backups else 0
-        rank += self._leaving * len(backups)
-        wait = ELECTION_S + ELECTION_RANK_S * rank + ELECTION_JITTER_S * self._draw()
-        if self._returning:
-            wait = RETURN_S
-        self._election_at = now + wait
+        self._watch.wait(self.durable.accepted, now)
         self._prevotes = None
 
     def _notice_lost_primary(self, store: Store, now: float) -> None:
@@ -359,20 +337,12 @@
         accepted = self.durable.accepted
         primary = accepted.store(accepted.primary) if accepted else None
         if primary and primary.id != store.id and primary.address == store.address:
-            self._miss_no_longer(primary.id, now)
+            self._watch.lose(primary.id, now)
 
     def _take_resignation(self, ballot: Ballot, now: float) -> None:
         accepted = self.durable.accepted
         if accepted and accepted.ballot == ballot:
-            self._miss_no_longer(accepted.primary, now)
-
-    def _miss_no_longer(self, primary: str, now: float) -> None:
-        """Ask for an election soon, and once: each new question makes the answers to the last one void."""
-        if primary == self._primary_lost:
-            return
-        self._primary_lost = primary
-        if not self._leaving:
-            self._election_at = min(self._election_at, now + ELECTION_JITTER_S * self._draw())
+            self._watch.lose(accepted.primary, now)
 
     def _start_prevote(self, now: float) -> None:
         """Ask the witnesses whether they miss the primary, too.
@@ -382,7 +352,7 @@
         accepted = self.durable.accepted
         asked = self._prevotes
         self._miss(now)
-        if self._returning and asked is not None:
+        if self._watch.is_returning and asked is not None:
             self._prevotes = asked  # the same question again: answers may take longer than its repetition
         else:
             self._prevotes, self._newest_ballot = set(), self.durable.promised
@@ -393,10 +363,7 @@
             self._send(voter, wire.PreVote(self._prevote_round))
 
     def _answer_prevote(self, sender: str, message: wire.PreVote, now: float) -> None:
-        accepted = self.durable.accepted
-        itself = accepted is not None and accepted.primary == sender  # it has started anew
-        lost = accepted is not None and accepted.primary == self._primary_lost
-        misses = sender == self.me.id or itself or lost or now - self._heard_primary > ELECTION_S
+        misses = self._watch.misses(self.durable.accepted, sender, now)
         if misses and not (self._leadership and sender != self.me.id):
             answer = wire.PreVoteGrant(message.round, self.durable.promised, self.durable.accepted)
             self._send(sender, answer)
@@ -456,9 +423,7 @@
 
     def _begin_epoch(self, epoch: Epoch, known_open: bool, now: float) -> None:
         self.epoch = epoch
-        self._primary_lost = ""
-        self._led_by = None
-        self._returning = False
+        self._watch.leads()
         sequence = self.durable.state.sequence
         self._leadership = Leadership(epoch, committed=sequence, confirmed_at=now, known_open=known_open)
         for replica in epoch.replicas:
@@ -488,7 +453,7 @@
 
     def announcement(self) -> wire.Announce:
         """What this store says of itself."""
-        return wire.Announce(self.me, self._counts, self._leaving)
+        return wire.Announce(self.me, self._counts, self._watch.leaving)
 
     def _write(self, records: Sequence[Record]) -> None:
         self._effects.records.extend(records)
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -22,7 +22,8 @@
 from fordtrestle.replication.epochs import Store
 from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
-from fordtrestle.roles.process import CONTROL_ROLE, EXIT_FAILED, Process, serve_http
+from fordtrestle.roles import metrics
+from fordtrestle.roles.process import CONTROL_ROLE, EXIT_FAILED, Process, serve_http, serve_metrics
 from fordtrestle.roles.process import main as run_role
 from fordtrestle.settings.boot import Boot
 from fordtrestle.storage.log import RecordLog, StorageError
@@ -103,6 +104,19 @@
                 witnesses=list(epoch.witness_ids),
             )
 
+    def figures(self) -> metrics.Figures:
+        """What is measured of this process."""
+        epoch, state = self.node.epoch, self.node.durable.state
+        return {
+            **metrics.of_catalog(self.process.gossip.catalog),
+            "epoch": epoch.ballot.number if epoch else 0,
+            "is_primary": self.node.is_primary,
+            "is_ready": self.node.is_ready,
+            "sequence": state.sequence,
+            "log_bytes": self.replicator.log_bytes,
+            "links": len(self.process.mesh.links()),
+        }
+
     async def leave(self, grace_s: float) -> None:
         """Serve on until others hold what this store holds under an epoch without it, within the platform's
         grace.
@@ -158,6 +172,7 @@
     if "directory" in boot.listen:
         directory = Directory(process.gossip.catalog, process.in_touch, boot.bounds.ttl_most_s, process.rng)
         runners.append(await serve_http(directory.application(), boot.listen["directory"]))
+    runners += await serve_metrics(boot, control.figures)
     async with asyncio.TaskGroup() as tasks:
         background = [
             tasks.create_task(control.replicator.run()),
--- /dev/null
+++ b/fordtrestle/roles/metrics.py
@@ -0,0 +1,45 @@
+"""A role's own figures as text, a `name value` a line, where the settings name a place (`metrics`)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+
+from fordtrestle.dissemination.catalog import Catalog
+from fordtrestle.dissemination.items import Availability, Phase
+
+Figures = Mapping[str, float]
+PREFIX = "fordtrestle_"
+
+
+def render(figures: Figures) -> str:
+    """The text of some figures, by name."""
+    return "".join(f"{PREFIX}{name} {value:g}\n" for name, value in sorted(figures.items()))
+
+
+def of_catalog(catalog: Catalog) -> dict[str, float]:
+    """What any process knows of the system."""
+    members = [record.availability for record, _ in catalog.members()]
+    servers = [record for record, _ in catalog.servers()]
+    control = catalog.control
+    return {
+        "generation": control.generation if control else 0,
+        "zones_evacuated": len(control.evacuated) if control else 0,
+        "members_ready": members.count(Availability.READY),
+        "members_down": members.count(Availability.DOWN),
+        "servers_serving": sum(r.phase is Phase.SERVING and not r.silent for r in servers),
+        "servers_draining": sum(r.phase is Phase.DRAINING for r in servers),
+        "servers_silent": sum(r.phase is Phase.SERVING and r.silent for r in servers),
+    }
+
+
+def application(path: str, figures: Callable[[], Figures]) -> web.Application:
+    """Serves the figures as they are when they are asked for."""
+
+    async def answer(_: web.Request) -> web.StreamResponse:
+        return web.Response(text=render(figures()))
+
+    made = web.Application()
+    made.add_routes([web.get(path, answer)])
+    return made
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -23,6 +23,7 @@
 from fordtrestle.peer.codec import Hello
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
+from fordtrestle.roles import metrics
 from fordtrestle.settings.boot import Address, Boot, file_bytes, read
 
 CONTROL_ROLE = "control"
@@ -169,6 +170,18 @@
         self.on_items(items)
 
 
+async def serve_metrics(boot: Boot, figures: Callable[[], metrics.Figures]) -> list[web.AppRunner]:
+    """Tell figures where the settings name a place for them. A place that is taken is no reason to end."""
+    if boot.metrics is None:
+        return []
+    address, path = boot.metrics
+    try:
+        return [await serve_http(metrics.application(path, figures), address)]
+    except (OSError, ValueError) as error:
+        eliot.log_message("metrics:not-served", reason=str(error))
+        return []
+
+
 async def serve_http(application: web.Application, address: Address) -> web.AppRunner:
     """Serve an application of the system's own endpoints. Raises `OSError`."""
     runner = web.AppRunner(application, access_log=None, handle_signals=False)
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -15,7 +15,8 @@
 from fordtrestle.ingress.exchange import Decisions
 from fordtrestle.ingress.server import Bounds, Front, Readiness
 from fordtrestle.ingress.waiting import Waiting
-from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http
+from fordtrestle.roles import metrics
+from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http, serve_metrics
 from fordtrestle.roles.process import main as run_role
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
@@ -58,7 +59,17 @@
     await process.start()
     await front.listen(boot.listen["front"])
     readiness = Readiness(lambda: process.gossip.me.availability is Availability.READY)
-    runner = await serve_http(readiness.application(), boot.listen["readiness"])
+    runners = [await serve_http(readiness.application(), boot.listen["readiness"])]
+
+    def figures() -> metrics.Figures:
+        return {
+            **metrics.of_catalog(process.gossip.catalog),
+            **decisions.admission.figures(),
+            "open_requests": front.open_requests,
+            "links": len(process.mesh.links()),
+        }
+
+    runners += await serve_metrics(boot, figures)
     async with asyncio.TaskGroup() as tasks:
         background = [
             tasks.create_task(process.keep_dialling()),
@@ -70,7 +81,8 @@
         for task in background:
             task.cancel()
     await front.close()
-    await runner.cleanup()
+    for runner in runners:
+        await runner.cleanup()
     await decisions.forwarder.close()
     await process.mesh.close()
     return 0
--- a/fordtrestle/settings/boot.py
+++ b/fordtrestle/settings/boot.py
@@ -91,6 +91,7 @@
     bounds: Bounds
     memory_mb: float
     max_fds: int
+    metrics: tuple[Address, str] | None  # where to tell figures, and under which path
 
 
 class _AddressField(fields.String):
@@ -156,6 +157,15 @@
         )
 
 
+def _metrics(ip: str, told: str) -> tuple[Address, str] | None:
+    """The place that PORT/PATH names; nothing where it names none: figures are no reason not to start."""
+    port, _, path = told.partition("/")
+    try:
+        return Address.parse(f"{ip}:{port}"), f"/{path}"
+    except ValueError:
+        return None
+
+
 class _BootSchema(_Part):
     node_name = fields.String(required=True, validate=validate.Length(min=1))
     role = fields.String(load_default="")
@@ -175,6 +185,7 @@
     limits = fields.Nested(_LimitsSchema, load_default=lambda: _LimitsSchema().load({}))
     fault_tolerance = fields.Nested(_ToleranceSchema, load_default=Tolerance)
     bounds = fields.Nested(_BoundsSchema, load_default=Bounds)
+    metrics = fields.String(load_default="", allow_none=True)
 
     @post_load
     def make(self, data: dict[str, Any], **_: Any) -> Boot:
@@ -199,6 +210,7 @@
             bounds=data["bounds"],
             memory_mb=data["limits"]["memory_mb"],
             max_fds=data["limits"]["max_fds"],
+            metrics=_metrics(str(data["ip"]), data["metrics"] or ""),
         )
 
 
--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -22,7 +22,8 @@
 from fordtrestle.replication.durable import Durable
 from fordtrestle.replication.epochs import Ballot, Epoch, Store
 from fordtrestle.replication.messages import Heartbeat, Resign
-from fordtrestle.replication.node import ELECTION_S, Node
+from fordtrestle.replication.node import Node
+from fordtrestle.replication.primary_watch import ELECTION_S
 from fordtrestle.storage.log import RecordLog
 from tests.exchanges import Client, approved, loopback, request, serve
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -160,13 +160,13 @@
         ORDERS, ORDER_TESTS, "        if self._waiting >= WAITING_MOST:\n", "        if False:\n"
     ),
     "callers are sent on to a primary that was heard lately alone": _removal(
-        NODE,
+        "replication/primary_watch.py",
         ORDER_TESTS,
-        " or now - self._heard_primary > ELECTION_S:\n            return None\n        return led_by",
-        ":\n            return None\n        return led_by",
+        " or now - self.heard_at > ELECTION_S:\n            return None",
+        ":\n            return None",
     ),
     "nobody is sent on to a primary that has said that it ends": _removal(
-        NODE, ORDER_TESTS, " or led_by.id == self._primary_lost or now", " or now"
+        "replication/primary_watch.py", ORDER_TESTS, " or primary.id == self._lost or now", " or now"
     ),
     "a withdrawal is acknowledged once a majority holds it": _removal(
         "control_api/withdrawals.py",
--- a/tests/replication/test_hard_cases.py
+++ b/tests/replication/test_hard_cases.py
@@ -335,7 +335,7 @@
         script.flow(b, c)
     assert b.node.is_primary and b.now - began < 0.5
     assert b.node.durable.state.evacuated == ("z0",)
-    assert b.node._primary_lost == "" == c.node._primary_lost, "a later epoch of it is missed as any other"
+    assert b.node._watch._lost == "" == c.node._watch._lost, "a later epoch of it is missed as any other"
 
 
 def leave(script: Script, machine: Machine) -> None:
--- /dev/null
+++ b/tests/roles/test_metrics.py
@@ -0,0 +1,49 @@
+"""Figures as text, where the settings name a place for them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from fordtrestle.dissemination.catalog import Catalog
+from fordtrestle.dissemination.items import ControlView, Phase, ServerRecord, control_item, server_item
+from fordtrestle.roles.metrics import application, of_catalog, render
+from fordtrestle.settings.boot import Address, parse
+from tests.exchanges import Client, loopback, request, serve
+from tests.settings.test_boot import BOOT
+
+
+def test_figures_are_one_a_line_by_name():
+    assert render({"b": 2, "a": 1.5, "is_primary": True}) == (
+        "fordtrestle_a 1.5\nfordtrestle_b 2\nfordtrestle_is_primary 1\n"
+    )
+
+
+def test_what_a_catalog_holds_is_counted():
+    catalog = Catalog()
+    for number, (phase, silent) in enumerate(
+        ((Phase.SERVING, False), (Phase.SERVING, True), (Phase.GONE, False))
+    ):
+        record = ServerRecord(f"i-{number}", "pool", "10.0.0.1:80", "z", 4, phase, silent, 0.0, None, (), "c")
+        catalog.merge([server_item(record, 1)], 0.0)
+    catalog.merge([control_item(ControlView(1, 7, b"{}", ("z",)))], 0.0)
+    figures = of_catalog(catalog)
+    assert (figures["generation"], figures["zones_evacuated"]) == (7, 1)
+    assert (figures["servers_serving"], figures["servers_silent"], figures["servers_draining"]) == (1, 1, 0)
+
+
+@pytest.mark.parametrize("told", ["", "nowhere", "99999/metrics", None])
+def test_a_place_that_is_none_is_no_reason_not_to_start(told):
+    assert parse(json.dumps({**BOOT, "metrics": told})).unwrap().metrics is None
+
+
+@loopback
+async def test_figures_are_told_at_the_place_that_the_settings_name():
+    address, path = parse(json.dumps({**BOOT, "metrics": "8149/own/figures"})).unwrap().metrics
+    assert (address, path) == (Address("10.1.0.35", 8149), "/own/figures")
+    runner, port = await serve(application(path, lambda: {"open_requests": 3}))
+    async with Client(port) as client:
+        assert (await client.exchange(request("GET", path))).endswith("fordtrestle_open_requests 3\n")
+        assert (await client.exchange(request("GET", "/"))).startswith("HTTP/1.1 404")
+    await runner.cleanup()
