--- a/fordtrestle/control_api/orders.py
+++ b/fordtrestle/control_api/orders.py
@@ -132,11 +132,17 @@
             return Outcome(Verdict.UNCLEAR)
         self._waiting += 1
         try:
-            async with self._one_write:
-                state = await self._state() if is_waiting() else None
-                return await act(state) if state else self._unable()
+            async with asyncio.timeout(COMMIT_S):
+                await self._one_write.acquire()
+        except TimeoutError:
+            return Outcome(Verdict.UNCLEAR)
         finally:
             self._waiting -= 1
+        try:
+            state = await self._state() if is_waiting() else None
+            return await act(state) if state else self._unable()
+        finally:
+            self._one_write.release()
 
     async def _state(self) -> ControlState | None:
         """The state, once all of it is on all replicas."""
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -293,7 +293,8 @@
         held = message.sequence if message.installed == ballot else -1
         if held >= 0 and self.durable.installed == ballot:
             leadership.appended(sender, held)
-        if leadership.catch_up.is_due(sender, held, state.sequence, now):
+        follows = sender in leadership.epoch.witness_ids
+        if follows and leadership.catch_up.is_due(sender, held, state.sequence, now):
             self._send(sender, wire.Install(ballot, state))
 
     def _take_appended(self, sender: str, message: wire.Appended) -> None:
--- /dev/null
+++ b/rig/system/draw_day.py
@@ -0,0 +1,107 @@
+"""Draws a day of troubles for the control side, as a TOML file for the users' bench.
+
+    python -m rig.system.draw_day SEED > day.toml
+
+Core cuts of every kind, lost disks, replacements, races, lost acknowledgements and leaving servers come again
+and again, several at a time; each day ends with a final fault.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+
+LENGTH_S = 33.0
+CUTS = (
+    "",
+    "leader",
+    "oldest",
+    "behind",
+    "split",
+    "all",
+    "near",
+    "one_way",
+    "seeds",
+    "both",
+    "lure",
+    "relieve",
+)
+AFTERS = ("", "meet", "race", "hard", "drain", "race hard", "meet drain")
+SILENCES = ("", "reset", "refuse")
+CLOSINGS = ("power_off_all", "wipe_after_ack", "kill_all")
+CLOSING_HOWS = ("", "timed", "taken", "oldest")
+
+
+def _line(kind: str, at: float, **fields: object) -> str:
+    told = [f"at = {at:.1f}", f'kind = "{kind}"']
+    told += [
+        f'{name} = "{value}"' if isinstance(value, str) else f"{name} = {value}"
+        for name, value in fields.items()
+    ]
+    return "  { " + ", ".join(told) + " },"
+
+
+def _cut(rng: random.Random, at: float) -> str:
+    how = " ".join(filter(None, (rng.choice(CUTS), rng.choice(SILENCES), rng.choice(AFTERS))))
+    return _line("core_cut", at, count=1, for_s=round(rng.uniform(2.0, 20.0), 1), how=how)
+
+
+def _fault(rng: random.Random, at: float) -> str:
+    for_s = round(rng.uniform(1.0, 5.0), 1)
+    leader = rng.choice(("", "leader", "turn"))
+    draws = (
+        lambda: _cut(rng, at),
+        lambda: _cut(rng, at),
+        lambda: _line("after_ack_wipe", at, for_s=for_s, how=rng.choice(("", "oldest", "timed"))),
+        lambda: _line("after_ack_kill", at, for_s=for_s, how=rng.choice(("", "kill", "timed"))),
+        lambda: _line("replace_core", at, x=for_s, how=rng.choice(("", "oldest"))),
+        lambda: _line("disk_stall", at, count=1, for_s=for_s, how=leader),
+        lambda: _line("disk_slow", at, count=1, x=30, for_s=for_s, how=leader),
+        lambda: _line("disk_full", at, count=1, for_s=for_s, how=leader),
+        lambda: _line("node_freeze", at, on="core", count=1, for_s=for_s, how=f"{leader} race".strip()),
+        lambda: _line("node_slow", at, on="core", count=1, x=5, for_s=for_s, how=leader),
+        lambda: _line("herd_kill", at, on="core", for_s=for_s, how=rng.choice(("", "off", "taken"))),
+        lambda: _line("reset_conns", at, on="core", share=1.0, x=0.6),
+        lambda: _line("region_cut", at, for_s=for_s, how=rng.choice(("", "one_way", "pair", "all"))),
+        lambda: _line("zone_loss", at, for_s=for_s),
+        lambda: _line("node_kill", at, on="core", count=1, for_s=for_s, how=f"power {leader}".strip()),
+        lambda: _line("clock_step", at, share=0.5, x=4000, for_s=for_s, how=rng.choice(("back", "ahead"))),
+        lambda: _line("srv_cut", at, share=0.3, for_s=for_s, how=rng.choice(("", "some", "one_way"))),
+        lambda: _line("ack_lost", at, for_s=20.0, x=0.7),
+    )
+    return rng.choice(draws)()
+
+
+def _plan(rng: random.Random, at: float) -> str:
+    draws = (
+        lambda: _line("config_change", at, how=rng.choice(("route", "weights", "timeout", "idle"))),
+        lambda: _line("config_race", at, count=rng.randint(1, 8), gap_s=round(rng.uniform(0.4, 1.5), 1)),
+        lambda: _line(
+            "bad_config", at, count=3, gap_s=0.7, how=rng.choice(("", "same_version", "old_version"))
+        ),
+        lambda: _line("evacuate", at, for_s=round(rng.uniform(2.0, 8.0), 1)),
+        lambda: _line("replace_core", at, x=1.0, how=rng.choice(("planned", "planned oldest"))),
+        lambda: _line("roll_term", at, on="core", share=1.0, x=1.0, gap_s=round(rng.uniform(1.0, 3.0), 1)),
+        lambda: _line("scale_in", at, share=0.15),
+        lambda: _line("release", at, share=0.3, x=1.0, gap_s=1.0),
+        lambda: _line("seed_turnover", at),
+        lambda: _line("hup", at, on="core", share=1.0, gap_s=1.0),
+    )
+    return rng.choice(draws)()
+
+
+def draw(seed: int) -> str:
+    """The text of the day of a seed."""
+    rng = random.Random(seed)
+    closing = f'closing = {{ kind = "{rng.choice(CLOSINGS)}", down_s = {rng.uniform(0.5, 2.0):.1f}'
+    how = rng.choice(CLOSING_HOWS)
+    lines = [f'name = "drawn-{seed}"', 'slot = "trouble"', closing + (f', how = "{how}" }}' if how else " }")]
+    plan = [_plan(rng, at) for at in sorted(rng.uniform(0.5, LENGTH_S - 3) for _ in range(rng.randint(4, 9)))]
+    faults = [
+        _fault(rng, at) for at in sorted(rng.uniform(1.0, LENGTH_S - 4) for _ in range(rng.randint(3, 7)))
+    ]
+    return "\n".join([*lines, "plan = [", *plan, "]", "faults = [", *faults, "]", ""])
+
+
+if __name__ == "__main__":
+    sys.stdout.write(draw(int(sys.argv[1])))
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -209,8 +209,8 @@
     "a store that is behind is sent the state": _removal(
         NODE,
         HARD_CASES,
-        "        if leadership.catch_up.is_due(",
-        "        if False and leadership.catch_up.is_due(",
+        "        if follows and leadership",
+        "        if False and leadership",
     ),
     "stores that are no replicas follow": _removal(
         NODE,
