Let an heir watch the servers of a control process that is gone

Cause: only the process that heard a server's heartbeats tells that it has fallen silent. Where both went at once (a zone, a replaced machine) nobody did, and the server stood as serving for good: each sidecar tried it every few seconds. Each control process that is down or forgotten has one heir among the live ones by rendezvous hashing. Silence is outdone by the server's next heartbeat, so that a wrong heir does no harm. Tests: test_heartbeats.py, test_suspicion.py, guards; bounds of the times after losses fitted to what is measured (tighter where an ended link tells).

--- a/fordtrestle/control_api/heartbeats.py
+++ b/fordtrestle/control_api/heartbeats.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -120,12 +120,14 @@
             return server_item(_nameless(instance, self._node), 0)
         return server_item(replace(known.value, phase=Phase.GONE), known.version[1])
 
-    def fallen_silent(self, catalog: Catalog, now: float) -> list[Item]:
+    def fallen_silent(
+        self, catalog: Catalog, now: float, inherits: Callable[[str], bool] = lambda node: False
+    ) -> list[Item]:
         """The items that say whose heartbeats have stopped coming here, and go nowhere else as far as
-        known.
+        known. `inherits` tells of which control processes, that are gone, this one is the heir.
         """
         items = []
-        self._adopt(catalog, now)
+        self._adopt(catalog, now, inherits)
         for instance, heard in list(self._heard.items()):
             if now - heard.at <= self._silent_s:
                 continue
@@ -133,14 +135,18 @@
             known = catalog.get(SERVER_PREFIX + instance)
             if known is None or not isinstance(known.value, ServerRecord):
                 continue
-            if known.value.heard_by == self._node and known.value.phase is Phase.SERVING:
+            is_ours = known.value.heard_by == self._node or inherits(known.value.heard_by)
+            if is_ours and known.value.phase is Phase.SERVING:
                 sequence = max(known.version[1], heard.sequence)
                 items.append(server_item(replace(known.value, silent=True), sequence))
         return items
 
-    def _adopt(self, catalog: Catalog, now: float) -> None:
-        """Watch servers whose heartbeats came here in an earlier life of this process."""
+    def _adopt(self, catalog: Catalog, now: float, inherits: Callable[[str], bool]) -> None:
+        """Watch servers whose heartbeats came here in an earlier life of this process, or went to one that is
+        gone and of which this is the heir: else nobody would tell that they are silent.
+        """
         for record, version in catalog.servers():
-            is_ours = record.heard_by == self._node and record.phase is Phase.SERVING and not record.silent
-            if is_ours and record.instance not in self._heard:
+            if record.phase is not Phase.SERVING or record.silent or record.instance in self._heard:
+                continue
+            if record.heard_by == self._node or inherits(record.heard_by):
                 self._heard[record.instance] = _Heard(version[1], now, now)
--- a/fordtrestle/dissemination/suspicion.py
+++ b/fordtrestle/dissemination/suspicion.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
+from fordtrestle.dissemination.items import Availability, MemberRecord
 from fordtrestle.dissemination.rendezvous import weight
 
 WATCHERS = 3
@@ -27,6 +28,12 @@
     return heapq.nlargest(WATCHERS, others, key=lambda other: weight(node, other))
 
 
+def heir_of(node: str, members: Iterable[MemberRecord], role: str) -> str | None:
+    """Who takes over what was a member's, where that is down or forgotten; the same everywhere."""
+    live = {m.node for m in members if m.role == role and m.availability is not Availability.DOWN}
+    return None if node in live else max(live, key=lambda other: weight(node, other), default=None)
+
+
 @dataclass(slots=True)
 class _Watch:
     missed_since: float
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -14,6 +14,7 @@
 from fordtrestle.control_api.withdrawals import Withdrawals
 from fordtrestle.dissemination.items import Availability, ControlView, control_item
 from fordtrestle.dissemination.messages import Confirm, Confirmed
+from fordtrestle.dissemination.suspicion import heir_of
 from fordtrestle.ingress.directory import Directory
 from fordtrestle.peer.codec import CodecError, Envelope, decode, encode
 from fordtrestle.peer.mesh import Link
@@ -131,12 +132,17 @@
             await asyncio.sleep(LEAVE_CHECK_S)
         eliot.log_message("control:left", needed=not self.node.may_leave(loop.time()))
 
+    def _inherits(self, node: str) -> bool:
+        """Whether this process watches the servers of a control process that is gone."""
+        members = [member for member, _ in self.process.gossip.catalog.members()]
+        return heir_of(node, members, CONTROL_ROLE) == self.process.boot.node_name
+
     async def watch_servers(self) -> None:
         """Tell of servers whose heartbeats have stopped, until cancelled."""
         while True:
             await asyncio.sleep(SILENCE_CHECK_S)
             now = asyncio.get_running_loop().time()
-            items = self.heartbeats.fallen_silent(self.process.gossip.catalog, now)
+            items = self.heartbeats.fallen_silent(self.process.gossip.catalog, now, self._inherits)
             if items:
                 eliot.log_message("control:servers-silent", keys=[item.key for item in items])
                 self.process.gossip.publish(items)
--- a/tests/control_api/test_heartbeats.py
+++ b/tests/control_api/test_heartbeats.py
@@ -23,8 +23,8 @@
         item = self.heartbeats.take(beat, self.catalog, now)
         return bool(item and self.catalog.merge([item], now))
 
-    def silent(self, now):
-        items = self.heartbeats.fallen_silent(self.catalog, now)
+    def silent(self, now, inherits=lambda node: False):
+        items = self.heartbeats.fallen_silent(self.catalog, now, inherits)
         self.catalog.merge(items, now)
         return [item.key for item in items]
 
@@ -72,3 +72,15 @@
     again = Core(catalog=core.catalog)
     assert again.silent(10.0) == []
     assert again.silent(13.6) == ["server/i-1"]
+
+
+def test_the_servers_of_a_process_that_is_gone_are_watched_by_its_heir():
+    gone = Core()
+    gone.hear(0.0, sequence=1)
+    heir, other = Core("core-2", gone.catalog), Core("core-3", gone.catalog)
+    of_gone = "core-1".__eq__
+    assert heir.silent(10.0, of_gone) == [] == other.silent(10.0)
+    assert other.silent(20.0) == []
+    assert heir.silent(13.6, of_gone) == ["server/i-1"]
+    assert other.hear(21.0, sequence=2), "it is there after all, and goes to another process"
+    assert heir.silent(40.0, of_gone) == []
--- a/tests/dissemination/test_suspicion.py
+++ b/tests/dissemination/test_suspicion.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from fordtrestle.dissemination.items import Availability, MemberRecord
 from fordtrestle.dissemination.suspicion import (
     CONFIRM_S,
     SUSPECT_S,
     WATCHERS,
     Suspicion,
+    heir_of,
     watched_by,
     watchers,
 )
@@ -54,3 +56,16 @@
     watched = {node: watched_by(node, NODES) for node in NODES}
     assert all(node in watched[by] for node in NODES for by in watchers(node, NODES))
     assert sum(map(len, watched.values())) == WATCHERS * len(NODES)
+
+
+def test_all_agree_on_one_heir_of_a_member_that_is_gone():
+    def member(node, role="control", availability=Availability.READY):
+        return MemberRecord(node, role, "z", "r", f"{node}:1", "", availability)
+
+    members = [member(f"c-{n}") for n in range(4)] + [member("s-1", "sidecar")]
+    assert heir_of("c-2", members, "control") is None, "it is there"
+    down = [*members[:2], member("c-2", availability=Availability.DOWN), *members[3:]]
+    heir = heir_of("c-2", down, "control")
+    assert heir in {"c-0", "c-1", "c-3"} and heir == heir_of("c-2", reversed(down), "control")
+    assert heir_of("forgotten", members, "control") in {f"c-{n}" for n in range(4)}
+    assert heir_of("c-2", [member("s-1", "sidecar")], "control") is None
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -191,6 +191,24 @@
         "            return server_item(_nameless(instance, self._node), 0)\n",
         "            return server_item(replace(_nameless(instance, self._node), phase=Phase.SERVING), 0)\n",
     ),
+    "an heir watches the servers of a process that is gone": _removal(
+        "control_api/heartbeats.py",
+        ORDER_TESTS,
+        "            if record.heard_by == self._node or inherits(record.heard_by):\n",
+        "            if record.heard_by == self._node:\n",
+    ),
+    "an ended link's store is not live": _removal(
+        "replication/contacts.py",
+        "tests/replication/test_control_times.py",
+        "        return heard - self._unlinked\n",
+        "        return heard\n",
+    ),
+    "a primary out of touch says that it resigns": _removal(
+        NODE,
+        "tests/replication/test_control_times.py",
+        "            self._resign(leadership, now)  # where",
+        "            self._step_down(now)  # where",
+    ),
     "a store that leaves stays until it is needed no more": _removal(
         NODE, HARD_CASES, "        return self.me.id not in needed\n", "        return True\n"
     ),
--- a/tests/replication/test_control_times.py
+++ b/tests/replication/test_control_times.py
@@ -12,19 +12,29 @@
     assert max(acknowledged(delay_s, seed=1)) <= 2 * delay_s + 2 * SYNC_S + 1e-9
 
 
+# Tighter where an ended link tells, and where the primary itself says that it is none any more.
+BOUNDS_S = {
+    HALVES: 2.2,
+    "primary killed": 1.0,
+    "primary killed, back after 0.5 s": 1.0,
+    "primary wiped, back after 1 s": 1.0,
+}
+
+
 # Measured with 55 ms one way are 0.59 to 1.73 s in the median; a primary that starts anew, or says that it
 # ends, is not waited for as one that is lost.
 @pytest.mark.parametrize("loss", LOSSES)
 def test_a_primary_serves_again_soon_after_each_loss(loss):
     waited_for = ("back after 0.5 s", "resigns")
-    bound = 1.7 if any(text in loss for text in waited_for) else 2.2 if loss == HALVES else 2.0
+    bound = BOUNDS_S.get(loss, 1.7 if any(text in loss for text in waited_for) else 2.0)
     assert max(outage(loss, 0.055, seed) for seed in range(5)) < bound
 
 
 # Another machine comes a second after the loss, or the one that is to leave waits a second for it.
 @pytest.mark.parametrize("loss", REPAIRS)
 def test_the_next_loss_is_borne_soon_after_each(loss):
-    assert max(outage(loss, 0.055, seed) for seed in range(5)) < 2.0
+    bound = 0.8 if "backup killed" in loss or "backup gone" in loss else 2.0
+    assert max(outage(loss, 0.055, seed) for seed in range(5)) < bound
 
 
 @pytest.mark.parametrize("delay_s", [0.110, 0.150])
