--- a/tests/sharing.py
+++ b/tests/sharing.py
@@ -16,9 +16,12 @@
 FIRST = (
     *TOGETHER,
     "tests/rig/cluster/test_cluster.py",
+    "tests/replication/test_exhaustive.py",
     "tests/rig/test_soak.py",
     "tests/poppypulley/test_departures.py",
     "tests/rig/cluster/",
+    "tests/replication/test_search.py",
+    "tests/test_guards.py",
     "tests/http/test_hostile.py",
     "tests/rig/",
 )
