Check long configurations beside the loop, and write on the state they were judged on

Cause: checking a configuration of 4 MB takes about a second, in which a primary neither sent nor heard anything: it stepped down (benchmarks.control_changes, change 84 of 4 MB, alone), and in a core the order that brings such a document was never taken. Documents over 64 KiB are checked in a thread. Since another may have been primary in between, a change is written only on the very state that it was judged on (test and guard; without it two changes on one version were acknowledged).

--- a/fordtrestle/control_api/orders.py
+++ b/fordtrestle/control_api/orders.py
@@ -27,6 +27,7 @@
 EVACUATION_WAITS_S = 0.9
 WAITING_MOST = 64  # orders at a time; a caller beyond them is told to come back
 DOCUMENT_MOST = 8 * 1024 * 1024  # bytes of a configuration: it has to fit into one message to each replica
+INLINE_MOST = 64 * 1024  # bytes of documents that are checked without a thread
 DIGEST_BYTES = 16
 
 IsWaiting = Callable[[], bool]  # whether an order's caller is still there
@@ -90,9 +91,13 @@
         """Put a configuration (`put`) or change named items of it (`patch`)."""
 
         async def act(state: ControlState) -> Outcome:
-            judged = judge(kind, base, body, state)
+            if len(body) + len(state.document) > INLINE_MOST:
+                # Checking a long document takes longer than a primary may be silent.
+                judged = await asyncio.to_thread(judge, kind, base, body, state)
+            else:
+                judged = judge(kind, base, body, state)
             if isinstance(judged, ConfigChange):
-                return await self._write(judged) if is_waiting() else self._unable()
+                return await self._write(judged, state) if is_waiting() else self._unable()
             return judged if await self._newest() else self._unable()
 
         return await self._in_turn(act, is_waiting)
@@ -109,7 +114,7 @@
                 return Outcome(Verdict.DONE)
             if not is_waiting() or self._replicator.now() > last:
                 return self._unable()
-            return await self._write(Evacuation(zone, active))
+            return await self._write(Evacuation(zone, active), state)
 
         return await self._in_turn(act, is_waiting)
 
@@ -162,8 +167,11 @@
         await self._replicator.until(lambda: node.confirmed(asked) or not node.is_primary, CONFIRM_S)
         return node.confirmed(asked)
 
-    async def _write(self, change: Change) -> Outcome:
+    async def _write(self, change: Change, judged_on: ControlState) -> Outcome:
+        """Write a change that was judged on a state, if that is the state still."""
         node = self._node
+        if node.committed_state is not judged_on:
+            return self._unable()
         ticket = node.propose(change, self._replicator.now())
         if ticket is None:
             return self._unable()
--- a/tests/control_api/test_orders.py
+++ b/tests/control_api/test_orders.py
@@ -136,6 +136,38 @@
     assert core.a.node.durable.state == ControlState()
 
 
+async def lead_meanwhile(core: Core, order: Coroutine[None, None, Outcome]) -> None:
+    """B is primary for a while, takes an order, and A is primary again with what came of it."""
+    core.candidate(core.b, core.a)
+    assert not core.a.node.is_primary
+    assert (await core.run(order, core.a, core.b)).verdict is Verdict.DONE
+    core.candidate(core.a, core.b, core.c)
+    assert core.a.node.is_primary
+
+
+@loopback
+async def test_no_change_acts_on_a_state_that_another_primary_has_changed_since(monkeypatch):
+    """A long document is checked beside the loop; before that is done A was deposed and is primary again."""
+    monkeypatch.setattr(orders_module, "INLINE_MOST", 0)
+    core = Core()
+    checked = asyncio.Event()
+
+    async def to_thread(call, *args):
+        judged = call(*args)
+        await checked.wait()
+        return judged
+
+    with monkeypatch.context() as patch:
+        patch.setattr(orders_module.asyncio, "to_thread", to_thread)
+        held = asyncio.create_task(core.at(core.a).change_config("put", 0, document(3, "held"), waiting))
+        await asyncio.sleep(0)
+    monkeypatch.setattr(orders_module, "INLINE_MOST", 1 << 20)
+    await lead_meanwhile(core, core.at(core.b).change_config("put", 0, document(3, "other"), waiting))
+    checked.set()
+    assert (await core.run(_result(held), *core.machines)).verdict is Verdict.UNCLEAR
+    assert json.loads(core.a.node.durable.state.document)["services"] == [{"name": "other"}]
+
+
 @loopback
 async def test_orders_that_wait_are_bounded(monkeypatch):
     monkeypatch.setattr(orders_module, "WAITING_MOST", 2)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -144,8 +144,8 @@
     "a change whose caller has left does not act": _removal(
         ORDERS,
         ORDER_TESTS,
-        "return await self._write(judged) if is_waiting() else self._unable()",
-        "return await self._write(judged)",
+        "return await self._write(judged, state) if is_waiting() else self._unable()",
+        "return await self._write(judged, state)",
     ),
     "an evacuation whose caller has left does not act": _removal(
         ORDERS,
@@ -153,6 +153,9 @@
         "            if not is_waiting() or self._replicator.now() > last:\n",
         "            if False:\n",
     ),
+    "a change is written on the state that it was judged on": _removal(
+        ORDERS, ORDER_TESTS, "        if node.committed_state is not judged_on:\n", "        if False:\n"
+    ),
     "a configuration fits into a message": _removal(
         ORDERS, ORDER_TESTS, "            if len(document) > DOCUMENT_MOST:\n", "            if False:\n"
     ),
--- /dev/null
+++ b/tests/replication/test_control_changes.py
@@ -0,0 +1,25 @@
+"""Hundreds of changes cost the last no more than the first, and the file stays short."""
+
+from __future__ import annotations
+
+import asyncio
+
+from benchmarks.control_changes import changes, main, start
+
+
+def test_the_file_stays_short_and_a_start_finds_all_changes(tmp_path):
+    took, most = asyncio.run(changes(tmp_path, 300, 3_000))
+    assert len(took) == 300
+    assert most < 400_000, "256 KiB, three snapshots and a write"
+    assert start(tmp_path)[1] == 300
+
+
+def test_a_long_configuration_does_not_fill_the_disk(tmp_path):
+    _, most = asyncio.run(changes(tmp_path, 12, 400_000))
+    assert most < 256 * 1024 + 5 * 500_000
+    assert start(tmp_path)[1] == 12
+
+
+def test_the_table_is_printed(capsys):
+    assert main(["--changes", "3", "--bytes", "300"]) == 0
+    assert len(capsys.readouterr().out.splitlines()) == 2
