--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -6,10 +6,12 @@
 import random
 from collections.abc import Callable, Collection
 
+import eliot
 from aiohttp import web
 
 from fordtrestle.dissemination.catalog import Catalog
-from fordtrestle.routing.fronts import SETTLED_S, choose_fronts
+from fordtrestle.dissemination.items import MemberRecord
+from fordtrestle.routing.fronts import SETTLED_S, Reach, choose_fronts, reach_of
 
 ADDRESSES_MOST = 64
 TTL_S = 1.0
@@ -19,13 +21,21 @@
     """Answers from the catalog."""
 
     def __init__(
-        self, catalog: Catalog, in_touch: Callable[[], Collection[str]], ttl_most_s: float, rng: random.Random
+        self,
+        catalog: Catalog,
+        in_touch: Callable[[], Collection[str]],
+        regions: Collection[str],
+        ttl_most_s: float,
+        rng: random.Random,
     ) -> None:
         self._catalog = catalog
         self._in_touch = in_touch
+        self._regions = frozenset(regions)
         self._ttl_s = min(TTL_S, ttl_most_s)
         self._settled_at = asyncio.get_running_loop().time() + SETTLED_S
         self._rng = rng
+        self._reaches: dict[str, Reach] = {}  # by region of clients, as last answered
+        self.answers = dict.fromkeys(Reach, 0)
 
     def application(self) -> web.Application:
         """The routes of the endpoint."""
@@ -38,7 +48,24 @@
         region, zone = request.query.get("region", ""), request.query.get("zone", "")
         settled = asyncio.get_running_loop().time() >= self._settled_at
         fronts = choose_fronts(members, self._in_touch(), region, zone, settled)
+        self._note(region, reach_of(fronts, region, zone), members)
         if not fronts:
             return web.json_response({"errors": ["no sidecar is ready"]}, status=503)
         drawn = self._rng.sample(fronts, min(len(fronts), ADDRESSES_MOST))
         return web.json_response({"addresses": [member.front for member in drawn], "ttl_s": self._ttl_s})
+
+    def _note(self, region: str, reach: Reach, members: list[MemberRecord]) -> None:
+        """Count the answer, and log it where a region's clients are sent farther away or nearer than before."""
+        self.answers[reach] += 1
+        if region not in self._regions or self._reaches.get(region, Reach.ZONE) is reach:
+            return
+        self._reaches[region] = reach
+        in_touch = self._in_touch()
+        own = [member for member in members if member.front and member.region == region]
+        eliot.log_message(
+            "directory:reach",
+            region=region,
+            reach=reach.name.lower(),
+            members={member.node: member.availability.name.lower() for member in own},
+            linked=[member.node for member in own if member.node in in_touch],
+        )
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -176,7 +176,13 @@
     )
     runners = [await serve_http(api.application(), boot.listen["control"])]
     if "directory" in boot.listen:
-        directory = Directory(process.gossip.catalog, process.in_touch, boot.bounds.ttl_most_s, process.rng)
+        directory = Directory(
+            process.gossip.catalog,
+            process.in_touch,
+            frozenset(boot.zones.values()),
+            boot.bounds.ttl_most_s,
+            process.rng,
+        )
         runners.append(await serve_http(directory.application(), boot.listen["directory"]))
     runners += await serve_metrics(boot, control.figures)
     async with asyncio.TaskGroup() as tasks:
