--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -37,6 +37,10 @@
         self._reaches: dict[str, Reach] = {}  # by region of clients, as last answered
         self.answers = dict.fromkeys(Reach, 0)
 
+    def settle(self) -> None:
+        """Take what is known for all there is, whatever the time since the start."""
+        self._settled_at = asyncio.get_running_loop().time()
+
     def application(self) -> web.Application:
         """The routes of the endpoint."""
         application = web.Application()
@@ -55,7 +59,7 @@
         return web.json_response({"addresses": [member.front for member in drawn], "ttl_s": self._ttl_s})
 
     def _note(self, region: str, reach: Reach, members: list[MemberRecord]) -> None:
-        """Count the answer, and log it where a region's clients are sent farther away or nearer than before."""
+        """Count the answer, and log it where a region's clients are sent farther or nearer than before."""
         self.answers[reach] += 1
         if region not in self._regions or self._reaches.get(region, Reach.ZONE) is reach:
             return
