Name clients those of their region that still serve, and homes before other regions

With both sidecars of a region told to end it named those of all regions, whatever homes the host's routes have, while the region's own still served. Now a table: who leaves stays named while its region has nobody else; a host with homes is led to homes, and outside of them only once all of their sidecars are told to be down.

--- a/fordtrestle/dissemination/items.py
+++ b/fordtrestle/dissemination/items.py
@@ -53,8 +53,9 @@
 
     STARTING = 0
     READY = 1
-    LEAVING = 2
+    LEAVING = 2  # told to end: it serves on, for clients whose region has nobody else
     DOWN = 3  # what others say of it once they have lost it
+    CLOSING = 4  # about to end: its clients are to go elsewhere
 
 
 @dataclass(frozen=True, slots=True)
--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -11,7 +11,8 @@
 
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import MemberRecord
-from fordtrestle.routing.fronts import SETTLED_S, Reach, choose_fronts, reach_of
+from fordtrestle.routing.fronts import SETTLED_S, Asker, Fronts, Reach, reach_of
+from fordtrestle.routing.table import RouteTable, parse_table
 
 ADDRESSES_MOST = 64
 TTL_S = 1.0
@@ -34,6 +35,8 @@
         self._ttl_s = min(TTL_S, ttl_most_s)
         self._settled_at = asyncio.get_running_loop().time() + SETTLED_S
         self._rng = rng
+        self._table: RouteTable | None = None
+        self._sequence = -1  # of what was decided, as the table was read
         self._reaches: dict[str, Reach] = {}  # by region of clients, as last answered
         self.answers = dict.fromkeys(Reach, 0)
 
@@ -48,19 +51,28 @@
         return application
 
     async def _resolve(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        asker = Asker(query.get("region", ""), query.get("zone", ""), self._homes(query.get("name", "")))
         members = [member for member, _ in self._catalog.members()]
-        region, zone = request.query.get("region", ""), request.query.get("zone", "")
         settled = asyncio.get_running_loop().time() >= self._settled_at
-        fronts = choose_fronts(members, self._in_touch(), region, zone, settled)
-        self._note(region, reach_of(fronts, region, zone), members)
+        fronts = Fronts(members, self._in_touch()).choose(asker, settled)
+        self._note(asker, reach_of(fronts, asker), members)
         if not fronts:
             return web.json_response({"errors": ["no sidecar is ready"]}, status=503)
         drawn = self._rng.sample(fronts, min(len(fronts), ADDRESSES_MOST))
         return web.json_response({"addresses": [member.front for member in drawn], "ttl_s": self._ttl_s})
 
-    def _note(self, region: str, reach: Reach, members: list[MemberRecord]) -> None:
+    def _homes(self, host: str) -> frozenset[str] | None:
+        """The homes of a host's routes, by the newest configuration that has come here."""
+        control = self._catalog.control
+        if control and control.document and control.sequence != self._sequence:
+            self._table, self._sequence = parse_table(control.document), control.sequence
+        return self._table.homes(host) if self._table else None
+
+    def _note(self, asker: Asker, reach: Reach, members: list[MemberRecord]) -> None:
         """Count the answer, and log it where a region's clients are sent farther or nearer than before."""
         self.answers[reach] += 1
+        region = asker.region
         if region not in self._regions or self._reaches.get(region, Reach.ZONE) is reach:
             return
         self._reaches[region] = reach
@@ -70,6 +82,7 @@
             "directory:reach",
             region=region,
             reach=reach.name.lower(),
+            homes=None if asker.homes is None else sorted(asker.homes),
             members={member.node: member.availability.name.lower() for member in own},
             linked=[member.node for member in own if member.node in in_touch],
         )
