End as a budget: a front ends resting connections, a leaving sidecar stays for its region

Now each step has a deadline out of the grace, a thread ends the process at the last, a front that has left ends what rests and forwards nothing more, and streams that may not be finished are refused with a promise. A leaving sidecar serves on while its region has nobody else.

--- a/fordtrestle/ingress/answers.py
+++ b/fordtrestle/ingress/answers.py
@@ -24,6 +24,13 @@
     return response
 
 
+def ending(request_id: str, rng: random.Random) -> web.Response:
+    """This sidecar ends; the request has not run."""
+    response = refused(request_id, 1.0, rng, "this sidecar ends")
+    response.force_close()
+    return response
+
+
 def unknown_route(request_id: str) -> web.Response:
     """No configuration in force has such a route."""
     return answer(404, request_id, "no such route")
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -19,6 +19,7 @@
 from fordtrestle.ingress import answers
 from fordtrestle.ingress.relay import OK, End, StreamRelay, is_short, relay_whole
 from fordtrestle.ingress.waiting import Waiting, longest
+from fordtrestle.routing.intake import Intake
 from fordtrestle.routing.pick import Prompt
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.servers import Server
@@ -65,6 +66,7 @@
     waiting: Waiting
     forwarder: Forwarder
     rng: random.Random
+    intake: Intake = field(default_factory=Intake)
 
 
 @dataclass(slots=True)
@@ -110,6 +112,8 @@
         route = table.match(inbound.host, inbound.path)
         if route is None:
             return self._give_up(answers.unknown_route(inbound.request_id))
+        if not shared.intake.takes(route.type, inbound.arrived):
+            return self._refuse(route.target_s, "this sidecar ends")
         deadline = inbound.arrived + self._has_s(route.timeout_s)
         if now >= deadline:
             return self._refuse(route.target_s, "the time is up")
@@ -231,6 +235,15 @@
     ) -> web.StreamResponse:
         """Pass a stream on; where it breaks off and may be resumed, another server goes on with it."""
         relay = StreamRelay(self._request, response, route.resumable)
+        try:
+            return await self._relay(relay, response, deadline)
+        except asyncio.CancelledError:
+            relay.cut()  # the client has gone, or this sidecar ends
+            raise
+
+    async def _relay(
+        self, relay: StreamRelay, response: aiohttp.ClientResponse, deadline: float
+    ) -> web.StreamResponse:
         await relay.begin()
         while True:
             client.notice_silence(response, wanted=relay.can_resume)
--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -5,8 +5,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Any
 
 from aiohttp import web
@@ -14,6 +16,7 @@
 from fordtrestle.forward.headers import REQUEST_ID, end_to_end
 from fordtrestle.ingress import answers
 from fordtrestle.ingress.exchange import Decisions, Exchange, Inbound
+from fordtrestle.routing.intake import Intake
 from fordtrestle.routing.pick import read_prompt
 from fordtrestle.routing.table import Limits
 from fordtrestle.settings.boot import Address
@@ -22,6 +25,8 @@
 IDLE_S = 60.0  # that an unused connection is kept at least: longer than any client rests
 BACKLOG = 1024
 BYTES_PER_MB = 1_000_000
+LOOK_S = 0.05  # between looks at what is still open
+LAST_ANSWER_S = 0.1  # for the last answers to leave, once what is open is cut
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -51,6 +56,14 @@
         return cls(max(1, max_fds // 2), int(memory_mb * BYTES_PER_MB / 4))
 
 
+class Phase(IntEnum):
+    """How far the end of a front has come."""
+
+    SERVING = 0
+    CLOSING = 1  # each answer ends its connection
+    LEFT = 2  # no further request is taken
+
+
 class Front:
     """Serves clients until it is closed."""
 
@@ -70,9 +83,9 @@
             max_field_size=HEAD_MOST,
         )
         self._listener: asyncio.Server | None = None
-        self.leaving = False
-        self.open_requests = 0
-        self.last_request_at = 0.0  # s, loop clock
+        self._phase = Phase.SERVING
+        self._open: dict[asyncio.Timeout, web.RequestHandler] = {}  # the connection of each open request
+        self._cut_at: float | None = None  # s, loop clock: when open requests are given up
 
     async def listen(self, address: Address) -> None:
         """Take connections. Raises `OSError`."""
@@ -85,35 +98,94 @@
         assert self._listener is not None
         return int(self._listener.sockets[0].getsockname()[1])
 
-    def stop_listening(self) -> None:
-        """Take no more connections.
+    @property
+    def open_requests(self) -> int:
+        """Requests that have no whole answer yet."""
+        return len(self._open)
 
-        Those that rest stay open until `close`: aiohttp's `pre_shutdown` would end the task that reads them
-        and leave them open, so that what a client still sends there would be read and never answered.
+    @property
+    def has_left(self) -> bool:
+        """Whether no further request is taken."""
+        return self._phase is Phase.LEFT
+
+    def cut_at(self, at: float, began: float) -> None:
+        """Give up at that time (s, loop clock) what is open then, and take what can be finished by then."""
+        self._cut_at = at
+        self._decisions.intake = Intake.ending(began, at)
+        for bound in self._open:
+            bound.reschedule(at)
+
+    def send_away(self) -> None:
+        """Let each answer end its connection."""
+        self._phase = Phase.CLOSING
+
+    async def leave(self) -> None:
+        """Take no further request, end the connections that rest, and wait until nothing is open.
+
+        A request that crosses the end of its connection is not read and may be sent again; one that was read
+        in the same turn is refused with a promise.
         """
+        self._phase = Phase.LEFT
         if self._listener:
             self._listener.close()
+        while True:
+            busy = set(self._open.values())
+            for connection in self._server.connections:
+                if connection not in busy:
+                    connection.force_close()
+            if not busy:
+                return
+            await asyncio.sleep(LOOK_S)
 
     async def close(self) -> None:
         """End all connections."""
-        await self._server.shutdown(0.0)
+        if self._listener:
+            self._listener.close()
+        # aiohttp takes 0 for "without limit", and waits twice as long at the most.
+        await self._server.shutdown(LAST_ANSWER_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.open_requests += 1
-        self.last_request_at = asyncio.get_running_loop().time()
+        bound = asyncio.timeout_at(self._cut_at)
+        self._open[bound] = request.protocol
         try:
-            response = await self._serve(request)
+            return await self._answer(request, bound)
         finally:
-            self.open_requests -= 1
-        if self.leaving and not response.prepared:
-            response.force_close()
+            del self._open[bound]
+
+    async def _answer(self, request: web.BaseRequest, bound: asyncio.Timeout) -> web.StreamResponse:
+        """The answer, which has left by the end unless the front gives it up before."""
+        response: web.StreamResponse | None = None
+        try:
+            async with bound:
+                response = await self._serve(request)
+                await self._write(request, response)
+                return response
+        except TimeoutError:
+            if not bound.expired():
+                raise
+        if response is not None:
+            if request.transport is not None:
+                request.transport.abort()  # it is not whole and must not look so
+            return response
+        response = answers.broken(request.headers.get(REQUEST_ID, ""))
+        await self._write(request, response)
         return response
 
+    async def _write(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Send what has not left of an answer; its connection is not at rest before."""
+        if self._phase is not Phase.SERVING and not response.prepared:
+            response.force_close()
+        with contextlib.suppress(ConnectionError):  # aiohttp sees it again, and ends the connection
+            await response.prepare(request)
+            await response.write_eof()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = asyncio.get_running_loop().time()
         request_id = request.headers.get(REQUEST_ID, "")
         table = self._decisions.view.table
         limits = table.limits if table else Limits()
+        if self.has_left:
+            return answers.ending(request_id, self._decisions.rng)
         told = request.content_length or 0
         if told > limits.max_body_bytes:
             return answers.too_large(request_id)
@@ -128,6 +200,8 @@
                 return body
             self._body_bytes += len(body) - held
             held = len(body)
+            if self.has_left:
+                return answers.ending(request_id, self._decisions.rng)
             return await self._exchange(request, body, arrived)
         finally:
             self._body_bytes -= held
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -24,7 +24,15 @@
 from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
 from fordtrestle.roles import metrics
-from fordtrestle.roles.process import CONTROL_ROLE, EXIT_FAILED, Process, serve_http, serve_metrics
+from fordtrestle.roles.ending import Ending
+from fordtrestle.roles.process import (
+    CONTROL_ROLE,
+    ENDPOINT_S,
+    EXIT_FAILED,
+    Process,
+    serve_http,
+    serve_metrics,
+)
 from fordtrestle.roles.process import main as run_role
 from fordtrestle.settings.boot import Boot
 from fordtrestle.storage.log import RecordLog, StorageError
@@ -34,7 +42,7 @@
 DISK_RETRY_S = 0.5
 LEAVE_LEAST_S = 0.3  # for word of the end to reach the others
 LEAVE_CHECK_S = 0.05
-GRACE_MARGIN_S = 2.0  # of the platform's grace, to end in
+CLOSE_S = 1.5  # before its time is over, that a control process goes whoever needs it
 
 
 async def _open_store(log: RecordLog) -> Durable:
@@ -118,19 +126,15 @@
             "links": len(self.process.mesh.links()),
         }
 
-    async def leave(self, grace_s: float) -> None:
-        """Serve on until others hold what this store holds under an epoch without it, within the platform's
-        grace.
-        """
+    async def leave(self) -> None:
+        """Serve on until others hold what this store holds under an epoch without it."""
         loop = asyncio.get_running_loop()
-        last = loop.time() + max(LEAVE_LEAST_S, grace_s - GRACE_MARGIN_S)
         self.node.leave(loop.time())
         self.replicator.announce()
         self.replicator.pump()
         await asyncio.sleep(LEAVE_LEAST_S)
-        while loop.time() < last and not self.node.may_leave(loop.time()):
+        while not self.node.may_leave(loop.time()):
             await asyncio.sleep(LEAVE_CHECK_S)
-        eliot.log_message("control:left", needed=not self.node.may_leave(loop.time()))
 
     def _inherits(self, node: str) -> bool:
         """Whether this process watches the servers of a control process that is gone."""
@@ -193,12 +197,15 @@
             tasks.create_task(control.watch_servers()),
         ]
         await process.stopping.wait()
-        await control.leave(boot.bounds.grace_s)
+        ending = Ending(boot.bounds.grace_s)
+        ending.exit_at_last()
+        done = await ending.step("hand over", control.leave(), ending.left_s() - CLOSE_S)
+        eliot.log_message("control:left", needed=not done)
         for task in background:
             task.cancel()
     for runner in runners:
-        await runner.cleanup()
-    await process.mesh.close()
+        await ending.step("endpoint", runner.cleanup(), ENDPOINT_S)
+    await ending.step("links", process.mesh.close(), ENDPOINT_S)
     log.close()
     return 0
 
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -34,6 +34,7 @@
     5.0  # between draws of who watches whom, where they are many: each costs the square of their number
 )
 NODES_FEW = 64
+ENDPOINT_S = 0.2  # for the endpoints of the system's own to end in; aiohttp's default is 60 s
 EXIT_FAILED, EXIT_BAD_INPUT = 1, 2
 
 
@@ -184,7 +185,9 @@
 
 async def serve_http(application: web.Application, address: Address) -> web.AppRunner:
     """Serve an application of the system's own endpoints. Raises `OSError`."""
-    runner = web.AppRunner(application, access_log=None, handle_signals=False)
+    runner = web.AppRunner(
+        application, access_log=None, handle_signals=False, shutdown_timeout=ENDPOINT_S / 2
+    )
     await runner.setup()
     site = web.TCPSite(runner, address.host, address.port, backlog=512)
     await site.start()
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -16,16 +16,20 @@
 from fordtrestle.ingress.server import Bounds, Front, Readiness
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.roles import metrics
-from fordtrestle.roles.process import SIDECAR_ROLE, Process, serve_http, serve_metrics
+from fordtrestle.roles.ending import Ending
+from fordtrestle.roles.process import ENDPOINT_S, SIDECAR_ROLE, Process, serve_http, serve_metrics
 from fordtrestle.roles.process import main as run_role
+from fordtrestle.routing.fronts import may_close
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
 
 LEAVE_TTLS = 3.0  # lives of a directory's answer that some clients keep it for
-QUIET_S = 0.5  # without a request, before the connections that rest are closed
-GRACE_MARGIN_S = 1.0  # of the platform's grace, to end in
-DRAINED_S = 0.05
+STAY_SHARE = 0.5  # of the grace, that a sidecar serves on for while its region has nobody else
+NOTICED_S = 0.3  # for word of others that are told to end at the same time
+LOOK_S = 0.05
+CUT_S = 0.3  # before its time is over, that a sidecar cuts what is open
+CLOSE_S = 0.25  # for all connections to end in
 FORGET_S = 10.0
 
 
@@ -77,14 +81,16 @@
             tasks.create_task(_forget(view, cold)),
         ]
         await process.stopping.wait()
-        await _leave(process, front, bounds.grace_s)
+        ending = Ending(bounds.grace_s)
+        ending.exit_at_last()
+        await _leave(process, front, ending)
         for task in background:
             task.cancel()
-    await front.close()
+    await ending.step("connections of clients", front.close(), CLOSE_S)
     for runner in runners:
-        await runner.cleanup()
-    await decisions.forwarder.close()
-    await process.mesh.close()
+        await ending.step("endpoint", runner.cleanup(), ENDPOINT_S)
+    await ending.step("connections to servers", decisions.forwarder.close(), ENDPOINT_S)
+    await ending.step("links", process.mesh.close(), ENDPOINT_S)
     return 0
 
 
@@ -95,20 +101,27 @@
         cold.forget(view.servers.instances())
 
 
-async def _leave(process: Process, front: Front, grace_s: float) -> None:
+async def _leave(process: Process, front: Front, ending: Ending) -> None:
     """Let clients go elsewhere, then finish what is open, within the platform's grace."""
-    loop = asyncio.get_running_loop()
-    last = loop.time() + max(0.0, grace_s - GRACE_MARGIN_S)
+    cut_at = ending.last - CUT_S
+    front.cut_at(cut_at, ending.began)
     eliot.log_message("sidecar:leaving", open_requests=front.open_requests)
-    front.leaving = True
-    process.announce(Availability.LEAVING)
-    await asyncio.sleep(min(LEAVE_TTLS * TTL_S, grace_s / 2))
-    front.stop_listening()
-    while loop.time() < last:
-        if not front.open_requests and loop.time() - front.last_request_at > QUIET_S:
-            break
-        await asyncio.sleep(DRAINED_S)
+    if process.gossip.me.availability is Availability.READY:
+        process.announce(Availability.LEAVING)
+        stay_s = STAY_SHARE * (cut_at - ending.began)
+        await ending.step("serve on for the region", _region_is_served(process), stay_s)
+    process.announce(Availability.CLOSING)
+    front.send_away()
+    await ending.step("clients go elsewhere", asyncio.sleep(LEAVE_TTLS * TTL_S), ending.left_s() - 2 * CUT_S)
     eliot.log_message("sidecar:left", open_requests=front.open_requests)
+    await ending.step("finish what is open", front.leave(), ending.left_s() - CUT_S / 2)
+
+
+async def _region_is_served(process: Process) -> None:
+    """Wait until clients of this region have others to go to, or nobody else is to come."""
+    await asyncio.sleep(NOTICED_S)
+    while not may_close(process.gossip.me, [member for member, _ in process.gossip.catalog.members()]):
+        await asyncio.sleep(LOOK_S)
 
 
 def main() -> int:
