--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -32,6 +32,7 @@
 SENDS_MOST = 4  # of one request, those that servers rejected included
 UNREACHABLE_MOST = 4  # servers that a request may find unreachable before it is refused
 NO_CONFIGURATION_S = 5.0  # that a request is taken to have where its route is not known
+BACK_S = 4.0  # in which this sidecar, or another one of its region, is ready again
 MS_PER_S = 1000.0
 
 
@@ -112,8 +113,8 @@
         route = table.match(inbound.host, inbound.path)
         if route is None:
             return self._give_up(answers.unknown_route(inbound.request_id))
-        if not shared.intake.takes(route.type, inbound.arrived):
-            return self._refuse(route.target_s, "this sidecar ends")
+        if not shared.intake.takes(route.type, inbound.prompt.tokens_out, inbound.arrived):
+            return self._refuse(BACK_S, "this sidecar ends")
         deadline = inbound.arrived + self._has_s(route.timeout_s)
         if now >= deadline:
             return self._refuse(route.target_s, "the time is up")
