--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -108,6 +108,11 @@
         """Whether no further request is taken."""
         return self._phase is Phase.LEFT
 
+    @property
+    def intake(self) -> Intake:
+        """Which requests are taken."""
+        return self._decisions.intake
+
     def cut_at(self, at: float, began: float) -> None:
         """Give up at that time (s, loop clock) what is open then, and take what can be finished by then."""
         self._cut_at = at
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -25,7 +25,6 @@
 from fordtrestle.settings.boot import Boot
 
 LEAVE_TTLS = 3.0  # lives of a directory's answer that some clients keep it for
-AWAY_S = 2.0  # before the cut, that a sidecar sends its clients away although its region has nobody else
 NOTICED_S = 0.3  # for word of others that are told to end at the same time
 LOOK_S = 0.05
 CUT_S = 0.3  # before its time is over, that a sidecar cuts what is open
@@ -108,7 +107,7 @@
     eliot.log_message("sidecar:leaving", open_requests=front.open_requests)
     if process.gossip.me.availability is Availability.READY:
         process.announce(Availability.LEAVING)
-        stay_s = max(0.0, cut_at - AWAY_S - ending.began)
+        stay_s = front.intake.streams_until - ending.began  # then other regions serve streams better
         await ending.step("serve on for the region", _region_is_served(process), stay_s)
     process.announce(Availability.CLOSING)
     front.send_away()
