Hold each guard of the ending and of the directory to a test; a store that is cut off waits

Traced: its 60 ms held for the first exchange too; with the loop stalled before that is sent, the server gives the second request the first one's answer. A probe that stalls there shows just this. The time is the second request's alone now, and 300 ms.

--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -105,11 +105,11 @@
     def may_leave(self, now: float) -> bool:
         """Whether this store may end: as far as it knows, an epoch is open that needs it no more.
 
-        It is needed as a replica, and as a witness while another store waits for its place. Where nobody
-        else means to stay there is nothing to wait for.
+        It is needed as a replica, and as a witness while another store waits for its place. Where all others
+        have said that they end, too, there is nothing to wait for; those that are not heard have not said so.
         """
         epoch = self.epoch
-        staying = self._contacts.live(now) - self._contacts.leaving() - {self.me.id}
+        staying = self._contacts.ids() - self._contacts.leaving() - {self.me.id}
         if not staying:
             return True
         if self._leadership or self._opening or epoch is None or self.durable.promised > epoch.ballot:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -33,6 +33,9 @@
 LOG, LOG_TESTS = "storage/log.py", "tests/storage"
 ORDERS, ORDER_TESTS = "control_api/orders.py", "tests/control_api"
 ENDS = "tests/ingress/test_ends.py"
+FRONT, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
+DIRECTORY = "tests/ingress/test_directory.py"
+FRONTS, FRONTS_TESTS = "routing/fronts.py", "tests/routing/test_fronts.py"
 NODE, HARD_CASES = "replication/node.py", "tests/replication/test_hard_cases.py"
 
 GUARDS: dict[str, Guard] = {
@@ -298,12 +301,98 @@
         "            if item.key in self._forgotten and item.version <= self._forgotten[item.key][0]:\n",
         "            if False:\n",
     ),
+    "a store that is cut off waits for the others": _removal(
+        NODE,
+        HARD_CASES,
+        "        staying = self._contacts.ids() - self",
+        "        staying = self._contacts.live(now) - self",
+    ),
     "a member is down only once others were asked": _removal(
         "dissemination/suspicion.py",
         "tests/dissemination",
         "        if node in self._watches:\n",
         "        if False:\n",
     ),
+    "a front that ends waits for no connection that rests": _removal(
+        FRONT, CLOSING, "await self._server.shutdown(LAST_ANSWER_S)", "await self._server.shutdown(0.0)"
+    ),
+    "a front that has left ends the connections that rest": _removal(
+        FRONT, CLOSING, "                    connection.force_close()\n", "                    pass\n"
+    ),
+    "a front that has left stops listening": _removal(
+        FRONT,
+        CLOSING,
+        "        self._phase = Phase.LEFT\n        if self._listener:\n            self._listener.close()\n",
+        "        self._phase = Phase.LEFT\n",
+    ),
+    "a request that was read as its connection ended is not sent on": _removal(
+        FRONT, CLOSING, "        return self._phase is Phase.LEFT\n", "        return False\n"
+    ),
+    "a body that is whole too late is not sent on": _removal(
+        FRONT, CLOSING, "            if self.has_left:\n", "            if False:\n"
+    ),
+    "what is open is given up in time": _removal(
+        FRONT, CLOSING, "            bound.reschedule(at)\n", "            pass\n"
+    ),
+    "an answer leaves before its connection is at rest": _removal(
+        FRONT,
+        CLOSING,
+        "                await self._write(request, response)\n",
+        "                await asyncio.sleep(0)\n",
+    ),
+    "an answer that was given up does not look whole": _removal(
+        "ingress/exchange.py",
+        CLOSING,
+        "            relay.cut()  # the client has gone",
+        "            # the client has gone",
+    ),
+    "streams are taken only while they can be finished": _removal(
+        "ingress/exchange.py",
+        CLOSING,
+        "        if not shared.intake.takes(route.type, inbound.prompt.tokens_out, inbound.arrived):\n",
+        "        if False:\n",
+    ),
+    "a step that hangs is cut": _removal(
+        "roles/ending.py",
+        "tests/roles/test_ending.py",
+        "asyncio.timeout(max(LEAST_S, min(most_s, self.left_s())))",
+        "asyncio.timeout(None)",
+    ),
+    "the process ends whatever hangs": _removal(
+        "roles/ending.py", "tests/roles/test_ending.py", "        last_resort.start()\n"
+    ),
+    "who leaves is named while its region has nobody else": _removal(
+        FRONTS, FRONTS_TESTS, "            or _nearest(self._heard(Availability.LEAVING), asker)\n"
+    ),
+    "a closing sidecar is its region's last resort": _removal(
+        FRONTS, FRONTS_TESTS, "            or _within(self._heard(Availability.CLOSING), {region})\n"
+    ),
+    "a host with homes is not led elsewhere": _removal(
+        FRONTS,
+        FRONTS_TESTS,
+        "            or (settled and _within(heard, asker.bound))\n",
+        "            or (settled and heard)\n",
+    ),
+    "homes may be left once all are down": _removal(
+        FRONTS,
+        FRONTS_TESTS,
+        "            or (settled and self._all_down(asker.bound) and (heard or ready))\n",
+    ),
+    "only one of those that end together goes at once": _removal(
+        FRONTS, FRONTS_TESTS, " and other.node > me.node", ""
+    ),
+    "a host's homes are those of all its routes": _removal(
+        "routing/table.py",
+        "tests/ingress/test_directory.py",
+        "frozenset.intersection(*homes) if homes",
+        "frozenset.union(*homes) if homes",
+    ),
+    "the directory goes by the newest configuration": _removal(
+        "ingress/directory.py",
+        "tests/ingress/test_directory.py",
+        "control.sequence != self._sequence",
+        "self._table is None",
+    ),
 }
 
 
--- a/tests/ingress/test_closing.py
+++ b/tests/ingress/test_closing.py
@@ -60,10 +60,12 @@
     async with StandIn(ok("q1")) as server, Stage(route()) as stage, Client(stage.port) as client:
         stage.add(server)
         await client.exchange(call())
-        await leaves(stage)
-        assert await client.answer() == GONE
+        port = stage.port
+        async with asyncio.timeout(CLOSING_S):
+            await stage.front.leave()
+            assert await client.answer() == GONE
         with pytest.raises(ConnectionRefusedError):
-            await asyncio.open_connection("127.0.0.1", stage.port)
+            await asyncio.open_connection("127.0.0.1", port)
 
 
 @loopback
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -21,12 +21,16 @@
     return MemberRecord(name, "sidecar", zone, region, f"{name}:1", f"{name}:80", availability)
 
 
+def configuration(generation: int, *routes) -> ControlView:
+    document = {"generation": generation, "routes": routes, "services": [{"name": "pool"}]}
+    return ControlView(generation, generation, json.dumps(document).encode(), ())
+
+
 async def named(members, *routes, region="r-1", name=HOST, linked=None):
     """The sidecars that a client is told; nothing where it is told none."""
     catalog = Catalog()
     catalog.merge([member_item(one, 1, 1) for one in members], 0.0)
-    document = {"generation": 1, "routes": routes or [route()], "services": [{"name": "pool"}]}
-    catalog.merge([control_item(ControlView(1, 1, json.dumps(document).encode(), ()))], 0.0)
+    catalog.merge([control_item(configuration(1, *routes or [route()]))], 0.0)
     links = {one.node for one in members} if linked is None else linked
     directory = Directory(catalog, lambda: links, REGIONS, 5.0, random.Random(1))
     directory.settle()
@@ -50,3 +54,23 @@
 async def test_a_host_with_homes_is_led_to_homes_where_its_client_s_region_has_nobody():
     bound = route(home_regions=["r-1", "r-2"])
     assert await named([member("2a"), member("3a")], bound, route("r-2", "/b/")) == ["2a"]
+
+
+@loopback
+async def test_homes_that_the_routes_of_a_host_do_not_share_are_none():
+    bound = (route(home_regions=["r-1", "r-2"]), route("r-2", "/b/", home_regions=["r-1", "r-3"]))
+    closing = member("1a", Availability.CLOSING)
+    assert await named([closing, member("2a"), member("3a")], *bound) == ["1a"]
+    assert await named([closing, member("2a"), member("3a")], *bound, name="other.example") == ["2a", "3a"]
+
+
+@loopback
+async def test_homes_follow_the_configuration():
+    catalog, links = Catalog(), {"1a", "2a", "3a"}
+    members = [member("1a", Availability.DOWN), member("2a"), member("3a")]
+    catalog.merge([member_item(one, 1, 1) for one in members], 0.0)
+    directory = Directory(catalog, lambda: links, REGIONS, 5.0, random.Random(1))
+    for sequence, home in enumerate(("r-2", "r-3"), start=1):
+        catalog.merge([control_item(configuration(sequence, route(home_regions=[home])))], 0.0)
+        assert directory._homes(HOST) == {home}
+    assert directory._homes("") is None
--- a/tests/ingress/test_ends.py
+++ b/tests/ingress/test_ends.py
@@ -27,6 +27,8 @@
     "stream": {"route_type": "streaming", "max_attempts": 2},
     "resumable": {"route_type": "streaming", "resumable": True, "max_attempts": 2},
 }
+SILENT_MS = 300  # that a request has whose server falls silent
+WHOLE_MS = 15_000
 CUT = "cut"  # a success whose connection ends before it is whole
 LATE = "504"
 
@@ -91,8 +93,9 @@
 }
 
 
-def call(request_id: str, **headers: str) -> bytes:
-    return request("POST", "/a/x", "hello", X_Request_Id=request_id, X_Deadline_Ms="15000", **headers)
+def call(request_id: str, deadline_ms: int = WHOLE_MS, **headers: str) -> bytes:
+    headers = {"X_Request_Id": request_id, "X_Deadline_Ms": str(deadline_ms), **headers}
+    return request("POST", "/a/x", "hello", **headers)
 
 
 def told(answer: str) -> str:
@@ -110,11 +113,11 @@
 @loopback
 async def test_a_connection_that_ends(row, kind, kept):
     expected = ROWS[row]
-    timeout_ms = 60 if "silent" in row else 20_000
+    deadline_ms = SILENT_MS if "silent" in row else WHOLE_MS
     async with (
         StandIn(*([ok("q1")] if kept else []), expected.answer, ok("q3")) as first,
         StandIn(ok("q2")) as second,
-        Stage(route(timeout_ms=timeout_ms, **KINDS[kind])) as stage,
+        Stage(route(**KINDS[kind])) as stage,
         Client(stage.port) as client,
     ):
         stage.add(first, "i-1")
@@ -123,7 +126,7 @@
         stage.add(second, "i-2", zone="z-2")
         stage.view.servers._servers["i-2"].cold_until = float("inf")  # taken where nothing else is left
         stage.decisions.selection._view._born = -10.0
-        answer = await client.exchange(call("q2"))
+        answer = await client.exchange(call("q2", deadline_ms))
         assert told(answer) == expected.told[kind]
         assert "surplus" not in answer and "more" not in answer
         assert arrivals(first, "q2") == 1, first.requests
--- a/tests/replication/test_hard_cases.py
+++ b/tests/replication/test_hard_cases.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fordtrestle.replication import messages as wire
+from fordtrestle.replication.contacts import HEARD_S
 from fordtrestle.replication.epochs import Ballot
 from fordtrestle.replication.node import REPEAT_S
 from fordtrestle.replication.opening import Opening
@@ -412,6 +413,20 @@
     assert all(machine.node.may_leave(machine.now) for machine in script.machines)
 
 
+def test_a_store_that_is_cut_off_as_it_is_told_to_end_stays_for_its_grace():
+    """It hears nobody, which does not mean that nobody stays: it may be needed as soon as the cut ends."""
+    script = Script()
+    a, b, c = script.a, script.b, script.c
+    a.now += HEARD_S + 0.1
+    a.node.leave(a.now)
+    assert not a.node.may_leave(a.now)
+    for other in (b, c):
+        other.node.leave(other.now)
+        script.pump(other)
+        script.announce(other)
+    assert a.node.may_leave(a.now), "the others have said that they leave, too"
+
+
 def test_a_store_that_has_missed_writes_is_sent_the_state_before_it_is_needed():
     script = Script()
     a, b, c = script.a, script.b, script.c
--- a/tests/roles/test_ending.py
+++ b/tests/roles/test_ending.py
@@ -12,6 +12,7 @@
 
 from fordtrestle.roles.ending import MARGIN_S, Ending
 from tests.exchanges import loopback
+from tests.guards import ROOT
 
 GRACE_S = 1.2
 
@@ -37,12 +38,13 @@
 @loopback
 async def _run_steps():
     ending = Ending(60.0)
-    done = [
-        await ending.step("one", asyncio.sleep(0), 1.0),
-        await ending.step("hangs", asyncio.Event().wait(), 0.01),
-        await ending.step("fails", fails(), 1.0),
-        await ending.step("last", asyncio.sleep(0), 1.0),
-    ]
+    async with asyncio.timeout(5.0):
+        done = [
+            await ending.step("one", asyncio.sleep(0), 1.0),
+            await ending.step("hangs", asyncio.Event().wait(), 0.01),
+            await ending.step("fails", fails(), 1.0),
+            await ending.step("last", asyncio.sleep(0), 1.0),
+        ]
     assert done == [True, False, False, True]
 
 
@@ -69,6 +71,8 @@
 def test_the_process_ends_with_code_0_before_its_grace_whatever_hangs(where):
     program = f"""
 import asyncio, json, time
+from tests.guards import take_out
+take_out()
 from fordtrestle.roles.ending import Ending
 
 async def run():
@@ -80,7 +84,7 @@
 """
     clock = "import time; print(time.monotonic())"
     ran = subprocess.run(
-        [sys.executable, "-c", program], capture_output=True, text=True, timeout=30, check=False
+        [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, timeout=10, check=False
     )
     ended = float(subprocess.run([sys.executable, "-c", clock], capture_output=True, text=True).stdout)
     assert ran.returncode == 0, ran.stderr
