--- a/fordtrestle/cli/control.py
+++ b/fordtrestle/cli/control.py
@@ -4,6 +4,8 @@
 
 import argparse
 
+from fordtrestle.cli.plain import do_without_tls
+
 
 def add(parser: argparse.ArgumentParser) -> None:
     """It takes no arguments: its settings stand in the file that FORDTRESTLE_CONFIG names."""
@@ -11,6 +13,7 @@
 
 def run(given: argparse.Namespace) -> int:
     """Serve until SIGTERM; the exit code."""
+    do_without_tls()
     from fordtrestle.roles import control
 
     return control.main()
--- a/rig/system/demo.py
+++ b/rig/system/demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import sys
 import tempfile
@@ -12,15 +11,15 @@
 
 import aiohttp
 
-from rig.system.deployment import REGIONS, Deployment, host_of
-from rig.system.model_server import ModelServer, Place
+from rig.system.deployment import REGIONS, Deployment
+from rig.system.fleet import servers_of, until_ready
+from rig.system.model_server import ModelServer
 from rig.system.traffic import Clients, Second, put_configuration
 
 LASTS_S = 30.0
 RATE_S = 8.0  # requests a region
 DROPPED_AT_S, RETURNED_AT_S = 9.0, 18.0
 DROPPED = REGIONS[0]  # where the first primary is
-SERVERS_EACH = 2
 READY_S = 20.0
 
 
@@ -29,38 +28,6 @@
     print(f"{time.monotonic() - began:6.1f} s  {text}", flush=True)
 
 
-def servers_of(deployment: Deployment, region: str, life: int) -> list[ModelServer]:
-    """The stand-in model servers of a region, of one incarnation each."""
-    near = sorted(REGIONS, key=lambda other: other != region)
-    controls = tuple(deployment.machine("control", other).address("control") for other in near)
-    return [
-        ModelServer(
-            Place(
-                f"i-{region}-{number}-{life}",
-                "models",
-                host_of(region, 10),
-                9000 + number,
-                f"{region}-1",
-                controls,
-            )
-        )
-        for number in range(SERVERS_EACH)
-    ]
-
-
-async def _ready(session: aiohttp.ClientSession, deployment: Deployment) -> None:
-    """Wait until every sidecar says that it is ready."""
-    async with asyncio.timeout(READY_S):
-        for region in REGIONS:
-            url = f"http://{deployment.machine('sidecar', region).address('readiness')}/v1/readiness"
-            while True:
-                with contextlib.suppress(aiohttp.ClientError, OSError):
-                    async with session.get(url) as answer:
-                        if answer.status == 200:
-                            break
-                await asyncio.sleep(0.1)
-
-
 async def _events(
     began: float, session: aiohttp.ClientSession, deployment: Deployment, life: dict[str, list[ModelServer]]
 ) -> None:
@@ -111,7 +78,9 @@
                 for server in servers:
                     await server.start()
             took = await put_configuration(session, deployment, 0, 1)
-            await _ready(session, deployment)
+            async with asyncio.timeout(READY_S):
+                for machine in deployment.of_role("sidecar"):
+                    await until_ready(session, machine)
             say(began, f"six processes serve; the first configuration was acknowledged after {took:.1f} s")
             began = time.monotonic()
             clients = [Clients(deployment, region, random.Random(region)) for region in REGIONS]
--- a/rig/system/deployment.py
+++ b/rig/system/deployment.py
@@ -33,12 +33,13 @@
     role: str
     host: str
     folder: Path
+    number: int = 1  # among those of its region and role
     process: asyncio.subprocess.Process | None = None
     log: list[str] = field(default_factory=list)
 
     @property
     def name(self) -> str:
-        return f"{self.role}-{self.region}"
+        return f"{self.role}-{self.region}" + (f"-{self.number}" if self.number > 1 else "")
 
     def address(self, endpoint: str) -> str:
         """HOST:PORT of an endpoint."""
@@ -100,19 +101,25 @@
 
 
 class Deployment:
-    """A control process and a sidecar in each region."""
+    """A control process and some sidecars in each region."""
 
-    def __init__(self, folder: Path) -> None:
-        self.machines = []
+    def __init__(self, folder: Path, sidecars: int = 1) -> None:
+        self.machines: list[Machine] = []
         for region in REGIONS:
-            for number, role in enumerate(("control", "sidecar"), start=1):
-                place = folder / f"{role}-{region}"
-                place.mkdir(parents=True)
-                self.machines.append(Machine(region, role, host_of(region, number), place))
-
-    def machine(self, role: str, region: str) -> Machine:
+            roles = ["control", *(sidecars * ["sidecar"])]
+            for at, role in enumerate(roles, start=1):
+                number = max(1, at - 1)
+                machine = Machine(region, role, host_of(region, at), folder / f"{at}-{region}", number)
+                machine.folder.mkdir(parents=True)
+                self.machines.append(machine)
+
+    def of_role(self, role: str) -> list[Machine]:
+        """All machines of a role."""
+        return [machine for machine in self.machines if machine.role == role]
+
+    def machine(self, role: str, region: str, number: int = 1) -> Machine:
         """The machine of a role in a region."""
-        return next(m for m in self.machines if (m.role, m.region) == (role, region))
+        return next(m for m in self.of_role(role) if (m.region, m.number) == (region, number))
 
     async def start(self) -> None:
         """Start all for the first time."""
--- a/tests/roles/test_processes.py
+++ b/tests/roles/test_processes.py
@@ -11,6 +11,7 @@
 import pytest
 
 from rig.system.deployment import REGIONS, Deployment
+from rig.system.fleet import until_ready
 from rig.system.traffic import configuration, put_configuration
 
 PATIENCE_S = 60.0
@@ -28,17 +29,6 @@
         await asyncio.sleep(0.05)
 
 
-async def ready(session, deployment, region):
-    """Wait until the sidecar of a region says that it is ready."""
-    url = f"http://{deployment.machine('sidecar', region).address('readiness')}/v1/readiness"
-    while True:
-        with contextlib.suppress(aiohttp.ClientError, OSError):
-            async with session.get(url) as answer:
-                if answer.status == 200:
-                    return
-        await asyncio.sleep(0.05)
-
-
 def play(folder, steps):
     async def run():
         deployment = Deployment(folder)
@@ -57,7 +47,7 @@
 @pytest.mark.parametrize("wiped", [False, True])
 def test_the_primary_is_lost_and_comes_back(tmp_path, wiped):
     async def steps(deployment, session):
-        await ready(session, deployment, "east")
+        await until_ready(session, deployment.machine("sidecar", "east"))
         primary = deployment.machine("control", "west")  # the first seed, which founded
         await primary.kill()
         if wiped:
@@ -79,7 +69,7 @@
         assert await read_back(session, deployment) == configuration(1)
         await put_configuration(session, deployment, 1, 2)
         for region in REGIONS:
-            await ready(session, deployment, region)
+            await until_ready(session, deployment.machine("sidecar", region))
 
     play(tmp_path, steps)
 
@@ -87,7 +77,7 @@
 def test_a_process_ends_by_sigterm_with_nothing_on_its_log_but_events(tmp_path):
     async def steps(deployment, session):
         for region in REGIONS:
-            await ready(session, deployment, region)
+            await until_ready(session, deployment.machine("sidecar", region))
         await deployment.stop()
         for machine in deployment.machines:
             for line in (machine.folder / "log").read_text().splitlines():
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -151,6 +151,7 @@
     "__main__.py",
     "cli/check.py",
     "cli/load.py",
+    "cli/plain.py",
     "cli/platform.py",
     "cli/serve.py",
     "config/operator.py",
