--- a/fordtrestle/cli/sidecar.py
+++ b/fordtrestle/cli/sidecar.py
@@ -4,7 +4,7 @@
 
 import argparse
 
-from fordtrestle.cli.plain import do_without_tls
+from fordtrestle.cli.start import do_without_tls, take_signals
 
 
 def add(parser: argparse.ArgumentParser) -> None:
@@ -13,6 +13,7 @@
 
 def run(given: argparse.Namespace) -> int:
     """Serve until SIGTERM; the exit code."""
+    take_signals()
     do_without_tls()
     from fordtrestle.roles import sidecar
 
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -24,7 +24,6 @@
 from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
 from fordtrestle.roles import metrics
-from fordtrestle.roles.ending import Ending
 from fordtrestle.roles.process import (
     CONTROL_ROLE,
     ENDPOINT_S,
@@ -197,8 +196,7 @@
             tasks.create_task(control.watch_servers()),
         ]
         await process.stopping.wait()
-        ending = Ending(boot.bounds.grace_s)
-        ending.exit_at_last()
+        ending = process.begin_to_end()
         done = await ending.step("hand over", control.leave(), ending.left_s() - CLOSE_S)
         eliot.log_message("control:left", needed=not done)
         for task in background:
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -24,6 +24,7 @@
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
 from fordtrestle.roles import metrics
+from fordtrestle.roles.ending import Ending
 from fordtrestle.settings.boot import Address, Boot, file_bytes, read
 
 CONTROL_ROLE = "control"
@@ -82,6 +83,16 @@
         self.dial()
         self.announce(Availability.STARTING)
 
+    def begin_to_end(self) -> Ending:
+        """Begin to count the grace, and heed no further signal; a second one must not cut the end short."""
+        ending = Ending(self.boot.bounds.grace_s)
+        ending.exit_at_last()
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(name)  # or closing the loop would give the signal its default again
+            signal.signal(name, signal.SIG_IGN)
+        return ending
+
     def announce(self, availability: Availability) -> None:
         """Tell all what this process can do now."""
         self.gossip.announce(replace(self.gossip.me, availability=availability))
@@ -203,7 +214,10 @@
                 print(f"fordtrestle: {line}", file=sys.stderr)
             return EXIT_BAD_INPUT
         case Success(boot):
-            return asyncio.run(_run(run, boot))
+            try:
+                return asyncio.run(_run(run, boot))
+            except OSError as error:  # as it starts: an address that is taken, for one
+                eliot.log_message("process:failed", reason=str(error))
     return EXIT_FAILED
 
 
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -80,8 +80,7 @@
             tasks.create_task(_forget(view, cold)),
         ]
         await process.stopping.wait()
-        ending = Ending(bounds.grace_s)
-        ending.exit_at_last()
+        ending = process.begin_to_end()
         await _leave(process, front, ending)
         for task in background:
             task.cancel()
--- a/rig/system/deployment.py
+++ b/rig/system/deployment.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 PORTS = {"control": 8140, "directory": 8141, "front": 8142, "readiness": 8143}
 INTERNAL = (8150, 8159)
 STOP_S = 10.0
+PROGRAM = ("-m", "fordtrestle")
 GRACE_S = 3.0  # short, so that a demonstration ends soon
 
 
@@ -34,6 +36,7 @@
     host: str
     folder: Path
     number: int = 1  # among those of its region and role
+    grace_s: float = GRACE_S
     process: asyncio.subprocess.Process | None = None
     log: list[str] = field(default_factory=list)
 
@@ -64,17 +67,16 @@
             "data_dir": str(data) if self.role == "control" else None,
             "heartbeat_ms": 1000,
             "fault_tolerance": {"machines": 1, "zones": 1, "regions": 1},
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": {"grace_s": self.grace_s},
         }
 
-    async def start(self, bootstrap: bool = False) -> None:
+    async def start(self, bootstrap: bool = False, program: Sequence[str] = PROGRAM) -> None:
         """Start the process."""
         file = self.folder / "boot.json"
         file.write_text(json.dumps(self.settings(bootstrap), indent=2))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "fordtrestle",
+            *program,
             self.role,
             env={**os.environ, "FORDTRESTLE_CONFIG": str(file)},
             stderr=(self.folder / "log").open("ab"),
@@ -103,13 +105,14 @@
 class Deployment:
     """A control process and some sidecars in each region."""
 
-    def __init__(self, folder: Path, sidecars: int = 1) -> None:
+    def __init__(self, folder: Path, sidecars: int = 1, grace_s: float = GRACE_S) -> None:
         self.machines: list[Machine] = []
         for region in REGIONS:
             roles = ["control", *(sidecars * ["sidecar"])]
             for at, role in enumerate(roles, start=1):
                 number = max(1, at - 1)
-                machine = Machine(region, role, host_of(region, at), folder / f"{at}-{region}", number)
+                place = folder / f"{role}-{region}-{number}"
+                machine = Machine(region, role, host_of(region, at), place, number, grace_s)
                 machine.folder.mkdir(parents=True)
                 self.machines.append(machine)
 
--- a/rig/system/fleet.py
+++ b/rig/system/fleet.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import aiohttp
 
 from rig.system.deployment import REGIONS, Deployment, Machine, host_of
-from rig.system.model_server import ModelServer, Place
+from rig.system.model_server import ModelServer, Place, Run
 
 SERVERS_EACH = 2
 SERVERS_HOST = 250  # the last number of their address in each region
@@ -16,7 +17,9 @@
 READY_LOOK_S = 0.02
 
 
-def servers_of(deployment: Deployment, region: str, life: int) -> list[ModelServer]:
+def servers_of(
+    deployment: Deployment, region: str, life: int, note: Callable[[Run], None] = lambda run: None
+) -> list[ModelServer]:
     """The stand-in model servers of a region, of one incarnation each."""
     near = sorted(REGIONS, key=lambda other: other != region)
     controls = tuple(deployment.machine("control", other).address("control") for other in near)
@@ -29,7 +32,8 @@
                 FIRST_PORT + number,
                 f"{region}-1",
                 controls,
-            )
+            ),
+            note,
         )
         for number in range(SERVERS_EACH)
     ]
--- a/rig/system/model_server.py
+++ b/rig/system/model_server.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import contextlib
+import time
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
@@ -36,11 +38,23 @@
     slots: int = 16
 
 
+@dataclass(slots=True)
+class Run:
+    """A request that a server has begun to work on; times in s of the monotonic clock."""
+
+    request_id: str
+    zone: str
+    began: float
+    ended: float | None = None
+    whole: bool = False
+
+
 class ModelServer:
     """One incarnation."""
 
-    def __init__(self, place: Place) -> None:
+    def __init__(self, place: Place, note: Callable[[Run], None] = lambda run: None) -> None:
         self._place = place
+        self._note = note
         self._slots = asyncio.Semaphore(place.slots)
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._sequence = 0
@@ -77,9 +91,14 @@
         await request.read()
         async with self._slots:
             self._running += 1
+            run = Run(request_id, self._place.zone, time.monotonic())
+            self._note(run)
             try:
-                return await self._stream(request, request_id)
+                answer = await self._stream(request, request_id)
+                run.whole = True
+                return answer
             finally:
+                run.ended = time.monotonic()
                 self._running -= 1
 
     async def _stream(self, request: web.Request, request_id: str) -> web.StreamResponse:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -35,6 +35,7 @@
 ENDS = "tests/ingress/test_ends.py"
 FRONT, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
 DIRECTORY = "tests/ingress/test_directory.py"
+SIGNALS = "tests/roles/test_signals.py"
 FRONTS, FRONTS_TESTS = "routing/fronts.py", "tests/routing/test_fronts.py"
 NODE, HARD_CASES = "replication/node.py", "tests/replication/test_hard_cases.py"
 
@@ -361,6 +362,18 @@
     "the process ends whatever hangs": _removal(
         "roles/ending.py", "tests/roles/test_ending.py", "        last_resort.start()\n"
     ),
+    "a process that starts heeds SIGTERM": _removal(
+        "cli/start.py",
+        SIGNALS,
+        "    signal.signal(signal.SIGTERM, lambda *_: os._exit(EXIT_DONE))\n",
+        "    pass\n",
+    ),
+    "a process that starts heeds no SIGHUP": _removal(
+        "cli/start.py", SIGNALS, "    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
+    ),
+    "a process that ends heeds no further signal": _removal(
+        "roles/process.py", SIGNALS, "            signal.signal(name, signal.SIG_IGN)\n"
+    ),
     "who leaves is named while its region has nobody else": _removal(
         FRONTS, FRONTS_TESTS, "            or _nearest(self._heard(Availability.LEAVING), asker)\n"
     ),
