--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -11,23 +11,17 @@
 from fordtrestle.admission.window import Admission
 from fordtrestle.dissemination.items import Availability, Item
 from fordtrestle.forward.client import Forwarder
-from fordtrestle.ingress.directory import TTL_S
 from fordtrestle.ingress.exchange import Decisions
 from fordtrestle.ingress.server import Bounds, Front, Readiness
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.roles import metrics
-from fordtrestle.roles.ending import Ending
+from fordtrestle.roles.leaving import leave
 from fordtrestle.roles.process import ENDPOINT_S, SIDECAR_ROLE, Process, serve_http, serve_metrics
 from fordtrestle.roles.process import main as run_role
-from fordtrestle.routing.fronts import may_close
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
 
-LEAVE_TTLS = 3.0  # lives of a directory's answer that some clients keep it for
-NOTICED_S = 0.3  # for word of others that are told to end at the same time
-LOOK_S = 0.05
-CUT_S = 0.3  # before its time is over, that a sidecar cuts what is open
 CLOSE_S = 0.25  # for all connections to end in
 FORGET_S = 10.0
 
@@ -81,7 +75,7 @@
         ]
         await process.stopping.wait()
         ending = process.begin_to_end()
-        await _leave(process, front, ending)
+        await leave(process, front, ending)
         for task in background:
             task.cancel()
     await ending.step("connections of clients", front.close(), CLOSE_S)
@@ -99,29 +93,6 @@
         cold.forget(view.servers.instances())
 
 
-async def _leave(process: Process, front: Front, ending: Ending) -> None:
-    """Let clients go elsewhere, then finish what is open, within the platform's grace."""
-    cut_at = ending.last - CUT_S
-    front.cut_at(cut_at, ending.began)
-    eliot.log_message("sidecar:leaving", open_requests=front.open_requests)
-    if process.gossip.me.availability is Availability.READY:
-        process.announce(Availability.LEAVING)
-        stay_s = front.intake.streams_until - ending.began  # then other regions serve streams better
-        await ending.step("serve on for the region", _region_is_served(process), stay_s)
-    process.announce(Availability.CLOSING)
-    front.send_away()
-    await ending.step("clients go elsewhere", asyncio.sleep(LEAVE_TTLS * TTL_S), ending.left_s() - 2 * CUT_S)
-    eliot.log_message("sidecar:left", open_requests=front.open_requests)
-    await ending.step("finish what is open", front.leave(), ending.left_s() - CUT_S / 2)
-
-
-async def _region_is_served(process: Process) -> None:
-    """Wait until clients of this region have others to go to, or nobody else is to come."""
-    await asyncio.sleep(NOTICED_S)
-    while not may_close(process.gossip.me, [member for member, _ in process.gossip.catalog.members()]):
-        await asyncio.sleep(LOOK_S)
-
-
 def main() -> int:
     """Run as a process of its own; the exit code."""
     return run_role(run)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,7 @@
 FRONT, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
 DIRECTORY = "tests/ingress/test_directory.py"
 SIGNALS = "tests/roles/test_signals.py"
+LEAVING = "tests/roles/test_leaving.py"
 FRONTS, FRONTS_TESTS = "routing/fronts.py", "tests/routing/test_fronts.py"
 NODE, HARD_CASES = "replication/node.py", "tests/replication/test_hard_cases.py"
 
@@ -362,6 +363,20 @@
     "the process ends whatever hangs": _removal(
         "roles/ending.py", "tests/roles/test_ending.py", "        last_resort.start()\n"
     ),
+    "a sidecar that leaves waits for clients to go": _removal(
+        "roles/leaving.py", LEAVING, "asyncio.sleep(LEAVE_TTLS * TTL_S)", "asyncio.sleep(0)"
+    ),
+    "a sidecar that leaves serves on for its region": _removal(
+        "roles/leaving.py",
+        LEAVING,
+        '        await ending.step("serve on for the region", _region_is_served(process), stay_s)\n',
+    ),
+    "a sidecar that leaves says so": _removal(
+        "roles/leaving.py", LEAVING, "        process.announce(Availability.LEAVING)\n"
+    ),
+    "a sidecar that closes says so": _removal(
+        "roles/leaving.py", LEAVING, "        process.announce(Availability.CLOSING)\n"
+    ),
     "a process that starts heeds SIGTERM": _removal(
         "cli/start.py",
         SIGNALS,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -144,6 +144,7 @@
     "peer/replicator.py",
     "roles/control.py",
     "roles/ending.py",
+    "roles/leaving.py",
     "roles/metrics.py",
     "roles/process.py",
     "roles/sidecar.py",
