--- a/tests/guards.py
+++ b/tests/guards.py
@@ -363,6 +363,12 @@
     "the process ends whatever hangs": _removal(
         "roles/ending.py", "tests/roles/test_ending.py", "        last_resort.start()\n"
     ),
+    "a control process that ends waits until it is not needed": _removal(
+        "roles/control.py",
+        "tests/roles/test_control_leaving.py",
+        "        while not self.node.may_leave(loop.time()):\n",
+        "        while False:\n",
+    ),
     "a sidecar that leaves waits for clients to go": _removal(
         "roles/leaving.py", LEAVING, "asyncio.sleep(LEAVE_TTLS * TTL_S)", "asyncio.sleep(0)"
     ),
