--- a/tests/rig/system/planted.py
+++ b/tests/rig/system/planted.py
@@ -2,8 +2,8 @@
 
     python -m tests.rig.system.planted [NAME ...] [--seeds 6] [--seconds 20]
 
-Each is a guard of `tests/guards.py` that is taken out of every process of a play; seeds are played until a rule
-is broken. One line a fault; the exit code is 1 where one was not found.
+Each is a guard of `tests/guards.py` that is taken out of every process of a play; seeds are played until a
+rule is broken. One line a fault; the exit code is 1 where one was not found.
 """
 
 from __future__ import annotations
