Decide the order of a request in routing/decision.py, pure; the exchange only carries it out

No change of behaviour meant: all tests of exchanges, ends and closing pass as they were, but for the names of what they reach into.

--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -15,7 +15,7 @@
 
 from fordtrestle.forward.headers import REQUEST_ID, end_to_end
 from fordtrestle.ingress import answers
-from fordtrestle.ingress.exchange import Decisions, Exchange, Inbound
+from fordtrestle.ingress.exchange import Exchange, Inbound, Shared
 from fordtrestle.routing.intake import Intake
 from fordtrestle.routing.pick import read_prompt
 from fordtrestle.routing.table import Limits
@@ -67,8 +67,8 @@
 class Front:
     """Serves clients until it is closed."""
 
-    def __init__(self, decisions: Decisions, bounds: Bounds) -> None:
-        self._decisions = decisions
+    def __init__(self, shared: Shared, bounds: Bounds) -> None:
+        self._shared = shared
         self._bounds = bounds
         self._body_bytes = 0  # held now
         self._server = web.Server(
@@ -111,12 +111,12 @@
     @property
     def intake(self) -> Intake:
         """Which requests are taken."""
-        return self._decisions.intake
+        return self._shared.decider.intake
 
     def cut_at(self, at: float, began: float) -> None:
         """Give up at that time (s, loop clock) what is open then, and take what can be finished by then."""
         self._cut_at = at
-        self._decisions.intake = Intake.ending(began, at)
+        self._shared.decider.intake = Intake.ending(began, at)
         for bound in self._open:
             bound.reschedule(at)
 
@@ -187,16 +187,16 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = asyncio.get_running_loop().time()
         request_id = request.headers.get(REQUEST_ID, "")
-        table = self._decisions.view.table
+        table = self._shared.decider.view.table
         limits = table.limits if table else Limits()
         if self.has_left:
-            return answers.ending(request_id, self._decisions.rng)
+            return answers.ending(request_id, self._shared.rng)
         told = request.content_length or 0
         if told > limits.max_body_bytes:
             return answers.too_large(request_id)
         room = self._bounds.body_bytes - self._body_bytes
         if self.open_requests > self._bounds.requests or told > room:
-            return answers.no_room(request_id, self._decisions.rng)
+            return answers.no_room(request_id, self._shared.rng)
         held = told
         self._body_bytes += held
         try:
@@ -206,7 +206,7 @@
             self._body_bytes += len(body) - held
             held = len(body)
             if self.has_left:
-                return answers.ending(request_id, self._decisions.rng)
+                return answers.ending(request_id, self._shared.rng)
             return await self._exchange(request, body, arrived)
         finally:
             self._body_bytes -= held
@@ -222,7 +222,7 @@
         if body is not None:
             return body
         if room < limits.max_body_bytes:
-            return answers.no_room(request_id, self._decisions.rng)
+            return answers.no_room(request_id, self._shared.rng)
         return answers.too_large(request_id)
 
     async def _exchange(self, request: web.BaseRequest, body: bytes, arrived: float) -> web.StreamResponse:
@@ -239,7 +239,7 @@
             ),
             arrived=arrived,
         )
-        return await Exchange(self._decisions, inbound, request).run()
+        return await Exchange(self._shared, inbound, request).run()
 
 
 async def _read(request: web.BaseRequest, most: int) -> bytes | None:
--- a/fordtrestle/ingress/waiting.py
+++ b/fordtrestle/ingress/waiting.py
@@ -6,13 +6,6 @@
 
 STEP_S = 0.1  # after which a request looks again at the latest: some reasons to wait end by time alone
 WAITING_MOST = 256
-SHARE = 0.3  # of the time that a request has
-LONGEST_S = 1.5
-
-
-def longest(has_s: float) -> float:
-    """For how long a request that has so much time may wait before it is refused."""
-    return min(LONGEST_S, SHARE * has_s)
 
 
 class Waiting:
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -11,13 +11,14 @@
 from fordtrestle.admission.window import Admission
 from fordtrestle.dissemination.items import Availability, Item
 from fordtrestle.forward.client import Forwarder
-from fordtrestle.ingress.exchange import Decisions
+from fordtrestle.ingress.exchange import Shared
 from fordtrestle.ingress.server import Bounds, Front, Readiness
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.roles import metrics
 from fordtrestle.roles.leaving import leave
 from fordtrestle.roles.process import ENDPOINT_S, SIDECAR_ROLE, Process, serve_http, serve_metrics
 from fordtrestle.roles.process import main as run_role
+from fordtrestle.routing.decision import Decider
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
@@ -33,21 +34,19 @@
     view = View(boot.zones, boot.heartbeat_s, loop.time())
     bounds = boot.bounds
     cold = ColdBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name)
-    decisions = Decisions(
+    decider = Decider(
         view=view,
         admission=Admission(process.rng.random),
         retries=RetryBudget(bounds.retry_budget_ratio, bounds.retry_allowance, bounds.budget_window_s),
         selection=Selection(view, cold, boot.zone, boot.region, process.rng.random, process.crossing_s),
-        urgency=Urgency(),
-        waiting=Waiting(),
-        forwarder=Forwarder(),
-        rng=process.rng,
+        draw=process.rng.random,
     )
-    front = Front(decisions, Bounds.of(boot.max_fds, boot.memory_mb))
+    shared = Shared(decider, Urgency(), Waiting(), Forwarder(), process.rng)
+    front = Front(shared, Bounds.of(boot.max_fds, boot.memory_mb))
 
     def changed(items: list[Item]) -> None:
         view.apply(items, loop.time())
-        decisions.waiting.wake()
+        shared.waiting.wake()
         if view.table and process.gossip.me.availability is Availability.STARTING:
             eliot.log_message("sidecar:ready", generation=view.generation)
             process.announce(Availability.READY)
@@ -61,7 +60,7 @@
     def figures() -> metrics.Figures:
         return {
             **metrics.of_catalog(process.gossip.catalog),
-            **decisions.admission.figures(),
+            **decider.admission.figures(),
             "open_requests": front.open_requests,
             "links": len(process.mesh.links()),
         }
@@ -81,7 +80,7 @@
     await ending.step("connections of clients", front.close(), CLOSE_S)
     for runner in runners:
         await ending.step("endpoint", runner.cleanup(), ENDPOINT_S)
-    await ending.step("connections to servers", decisions.forwarder.close(), ENDPOINT_S)
+    await ending.step("connections to servers", shared.forwarder.close(), ENDPOINT_S)
     await ending.step("links", process.mesh.close(), ENDPOINT_S)
     return 0
 
--- a/rig/system/read_reports.py
+++ b/rig/system/read_reports.py
@@ -1,10 +1,10 @@
-"""Reads what the users' bench has printed, and lists each line that tells of trouble, on days that passed too.
+"""Reads what the users' bench has printed, and lists lines that tell of trouble, on days that passed, too.
 
     python -m rig.system.read_reports FILE ...
 
 Broken rules, failed gates, processes that were killed at the end of their grace, failed look-ups, processes
-that ended by themselves, requests cut or not served: each with its day. What is listed is traced, or stands as
-open in `docs/system-test.md`. The exit code is 1 where a rule was broken.
+that ended by themselves, requests cut or not served: each with its day. What is listed is traced, or stands
+as open in `docs/system-test.md`. The exit code is 1 where a rule was broken.
 """
 
 from __future__ import annotations
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -349,9 +349,9 @@
         "            # the client has gone",
     ),
     "streams are taken only while they can be finished": _removal(
-        "ingress/exchange.py",
+        "routing/decision.py",
         CLOSING,
-        "        if not shared.intake.takes(route.type, inbound.prompt.tokens_out, inbound.arrived):\n",
+        "        if not self.intake.takes(route.type, wanted.prompt.tokens_out, wanted.arrived):\n",
         "        if False:\n",
     ),
     "a step that hangs is cut": _removal(
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -15,9 +15,10 @@
 from fordtrestle.admission.window import Admission
 from fordtrestle.dissemination.items import ControlView, Phase, ServerRecord, control_item, server_item
 from fordtrestle.forward.client import Forwarder
-from fordtrestle.ingress.exchange import Decisions
+from fordtrestle.ingress.exchange import Shared
 from fordtrestle.ingress.server import Bounds, Front
 from fordtrestle.ingress.waiting import Waiting
+from fordtrestle.routing.decision import Decider
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Address
@@ -125,7 +126,7 @@
         self.view = View(ZONES, heartbeat_s=1.0, born=0.0)
         self.sequence = 0
         self.configure(*routes, services=services)
-        self.decisions = Decisions(
+        self.decider = Decider(
             view=self.view,
             admission=Admission(random.Random(1).random),
             retries=RetryBudget(0.2, 50.0, 10.0),
@@ -137,12 +138,10 @@
                 random.Random(1).random,
                 lambda region: None,
             ),
-            urgency=Urgency(),
-            waiting=Waiting(),
-            forwarder=Forwarder(),
-            rng=random.Random(1),
+            draw=random.Random(1).random,
         )
-        self.front = Front(self.decisions, Bounds(requests=100, body_bytes=1_000_000))
+        self.shared = Shared(self.decider, Urgency(), Waiting(), Forwarder(), random.Random(1))
+        self.front = Front(self.shared, Bounds(requests=100, body_bytes=1_000_000))
 
     def configure(self, *routes, services=None, evacuated=()):
         """Put a configuration in force."""
@@ -182,4 +181,4 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.front.close()
-        await self.decisions.forwarder.close()
+        await self.shared.forwarder.close()
--- a/tests/ingress/test_ends.py
+++ b/tests/ingress/test_ends.py
@@ -125,7 +125,7 @@
             await client.exchange(call("q1"))
         stage.add(second, "i-2", zone="z-2")
         stage.view.servers._servers["i-2"].cold_until = float("inf")  # taken where nothing else is left
-        stage.decisions.selection._view._born = -10.0
+        stage.decider.selection._view._born = -10.0
         answer = await client.exchange(call("q2", deadline_ms))
         assert told(answer) == expected.told[kind]
         assert "surplus" not in answer and "more" not in answer
--- a/tests/ingress/test_exchanges.py
+++ b/tests/ingress/test_exchanges.py
@@ -64,7 +64,7 @@
     async with StandIn(kept, ended) as server, Stage(route()) as stage, Client(stage.port) as client:
         stage.add(server)
         await client.exchange(call())
-        assert stage.decisions.forwarder._connector._keepalive_timeout == 7.5
+        assert stage.shared.forwarder._connector._keepalive_timeout == 7.5
         await client.exchange(call())
         await client.exchange(call())
         assert server.connections == 2
@@ -131,7 +131,7 @@
         async with Client(stage.port) as client:
             answer = await client.exchange(call())
             assert answer.startswith("HTTP/1.1 503") and "Retry-After" in answer
-            window = stage.decisions.admission._windows["pool"]
+            window = stage.decider.admission._windows["pool"]
             assert (window.requests, window.accepts) == (1, 0)
             stage.add(port, "i-gone")
             stage.view.servers._servers["i-1"].rest_until = float("inf")
@@ -179,12 +179,12 @@
         await client.send(call())
         await until(lambda: stage.front.open_requests)
         stage.configure(route())
-        stage.decisions.waiting.wake()
+        stage.shared.waiting.wake()
         for _ in range(20):
             await asyncio.sleep(0)
         assert stage.front.open_requests
         stage.add(server)
-        stage.decisions.waiting.wake()
+        stage.shared.waiting.wake()
         assert (await client.answer()).startswith("HTTP/1.1 200")
 
 
--- a/tests/roles/test_leaving.py
+++ b/tests/roles/test_leaving.py
@@ -26,8 +26,8 @@
 class Witnessed(Front):
     """A front that notes what is asked of it."""
 
-    def __init__(self, decisions, bounds, note):
-        super().__init__(decisions, bounds)
+    def __init__(self, shared, bounds, note):
+        super().__init__(shared, bounds)
         self._note = note
 
     def send_away(self):
@@ -67,7 +67,7 @@
 
     for availability in others:
         publish(availability, 1)
-    front = Witnessed(Stage(route()).decisions, Bounds(10, 1000), note)
+    front = Witnessed(Stage(route()).shared, Bounds(10, 1000), note)
     ending = Ending(grace_s)
     process.on_items = changed
     if became is not None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -80,6 +80,7 @@
     "replication/opening.py",
     "replication/primary_watch.py",
     "replication/state.py",
+    "routing/decision.py",
     "routing/fronts.py",
     "routing/intake.py",
     "routing/pick.py",
