--- a/fordtrestle/dissemination/items.py
+++ b/fordtrestle/dissemination/items.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -99,6 +98,3 @@
     """The item of a member. Being down is said at the counter that was known, and refuted by the next."""
     down = int(record.availability is Availability.DOWN)
     return Item(MEMBER_PREFIX + record.node, (incarnation, counter, down), record)
-
-
-Versions = Mapping[str, Version]
--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -38,7 +38,11 @@
         self._table: RouteTable | None = None
         self._sequence = -1  # of what was decided, as the table was read
         self._reaches: dict[str, Reach] = {}  # by region of clients, as last answered
-        self.answers = dict.fromkeys(Reach, 0)
+        self._answers = dict.fromkeys(Reach, 0)
+
+    def figures(self) -> dict[str, float]:
+        """Answers so far, by how far from the client the sidecars are that they name."""
+        return {f"directory_{reach.name.lower()}": count for reach, count in self._answers.items()}
 
     def settle(self) -> None:
         """Take what is known for all there is, whatever the time since the start."""
@@ -71,7 +75,7 @@
 
     def _note(self, asker: Asker, reach: Reach, members: list[MemberRecord]) -> None:
         """Count the answer, and log it where a region's clients are sent farther or nearer than before."""
-        self.answers[reach] += 1
+        self._answers[reach] += 1
         region = asker.region
         if region not in self._regions or self._reaches.get(region, Reach.ZONE) is reach:
             return
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -178,16 +178,16 @@
         control.node,
     )
     runners = [await serve_http(api.application(), boot.listen["control"])]
+    directory = Directory(
+        process.gossip.catalog,
+        process.in_touch,
+        frozenset(boot.zones.values()),
+        boot.bounds.ttl_most_s,
+        process.rng,
+    )
     if "directory" in boot.listen:
-        directory = Directory(
-            process.gossip.catalog,
-            process.in_touch,
-            frozenset(boot.zones.values()),
-            boot.bounds.ttl_most_s,
-            process.rng,
-        )
         runners.append(await serve_http(directory.application(), boot.listen["directory"]))
-    runners += await serve_metrics(boot, control.figures)
+    runners += await serve_metrics(boot, lambda: {**control.figures(), **directory.figures()})
     async with asyncio.TaskGroup() as tasks:
         background = [
             tasks.create_task(control.replicator.run()),
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -74,3 +74,18 @@
         catalog.merge([control_item(configuration(sequence, route(home_regions=[home])))], 0.0)
         assert directory._homes(HOST) == {home}
     assert directory._homes("") is None
+
+
+@loopback
+async def test_answers_are_counted_by_how_far_they_send_a_client():
+    catalog, links = Catalog(), {"1a", "2a"}
+    directory = Directory(catalog, lambda: links, REGIONS, 5.0, random.Random(1))
+    directory.settle()
+    runner, port = await serve(directory.application())
+    async with Client(port) as client:
+        for availability in (Availability.READY, Availability.DOWN):
+            catalog.merge([member_item(member("1a", availability), 1, availability + 1)], 0.0)
+            await client.exchange(request("GET", f"/v1/resolve?name={HOST}&region=r-1&zone=z-1"))
+    await runner.cleanup()
+    figures = {"directory_zone": 1, "directory_region": 0, "directory_elsewhere": 0, "directory_nobody": 1}
+    assert directory.figures() == figures
