--- a/fordtrestle/ingress/directory.py
+++ b/fordtrestle/ingress/directory.py
@@ -10,12 +10,13 @@
 from aiohttp import web
 
 from fordtrestle.dissemination.catalog import Catalog
-from fordtrestle.dissemination.items import MemberRecord
+from fordtrestle.dissemination.items import ControlView, MemberRecord
 from fordtrestle.routing.fronts import SETTLED_S, Asker, Fronts, Reach, reach_of
-from fordtrestle.routing.table import RouteTable, parse_table
+from fordtrestle.routing.homes import Homes, read_homes
 
 ADDRESSES_MOST = 64
 TTL_S = 1.0
+FIRST_READ_S = 0.5  # that a client waits for the first configuration to be read
 
 
 class Directory:
@@ -35,8 +36,9 @@
         self._ttl_s = min(TTL_S, ttl_most_s)
         self._settled_at = asyncio.get_running_loop().time() + SETTLED_S
         self._rng = rng
-        self._table: RouteTable | None = None
-        self._sequence = -1  # of what was decided, as the table was read
+        self._homes: Homes | None = None
+        self._sequence = -1  # of what was decided, as the homes were read
+        self._reading: asyncio.Task[None] | None = None
         self._reaches: dict[str, Reach] = {}  # by region of clients, as last answered
         self._answers = dict.fromkeys(Reach, 0)
 
@@ -56,7 +58,8 @@
 
     async def _resolve(self, request: web.Request) -> web.StreamResponse:
         query = request.query
-        asker = Asker(query.get("region", ""), query.get("zone", ""), self._homes(query.get("name", "")))
+        homes = await self._homes_of(query.get("name", ""))
+        asker = Asker(query.get("region", ""), query.get("zone", ""), homes)
         members = [member for member, _ in self._catalog.members()]
         settled = asyncio.get_running_loop().time() >= self._settled_at
         fronts = Fronts(members, self._in_touch()).choose(asker, settled)
@@ -66,12 +69,25 @@
         drawn = self._rng.sample(fronts, min(len(fronts), ADDRESSES_MOST))
         return web.json_response({"addresses": [member.front for member in drawn], "ttl_s": self._ttl_s})
 
-    def _homes(self, host: str) -> frozenset[str] | None:
-        """The homes of a host's routes, by the newest configuration that has come here."""
+    async def _homes_of(self, host: str) -> frozenset[str] | None:
+        """The homes of a host's routes.
+
+        A long configuration is read beside the loop, which has heartbeats to answer: until then the one
+        before counts, if there is one.
+        """
         control = self._catalog.control
-        if control and control.document and control.sequence != self._sequence:
-            self._table, self._sequence = parse_table(control.document), control.sequence
-        return self._table.homes(host) if self._table else None
+        if control and control.document and control.sequence != self._sequence and self._reading is None:
+            self._reading = asyncio.create_task(self._read(control))
+        if self._reading and self._homes is None:
+            await asyncio.wait([self._reading], timeout=FIRST_READ_S)
+        return self._homes.of(host) if self._homes else None
+
+    async def _read(self, control: ControlView) -> None:
+        try:
+            self._homes = await asyncio.to_thread(read_homes, control.document)
+            self._sequence = control.sequence
+        finally:
+            self._reading = None
 
     def _note(self, asker: Asker, reach: Reach, members: list[MemberRecord]) -> None:
         """Count the answer, and log it where a region's clients are sent farther or nearer than before."""
--- a/fordtrestle/routing/table.py
+++ b/fordtrestle/routing/table.py
@@ -84,22 +84,13 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of that host with the longest prefix that begins the path; `path` without its query."""
-        for route in self._of_host(host):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
-
-    def homes(self, host: str) -> frozenset[str] | None:
-        """The regions that are home to each route of that host that has homes; nothing where none has any."""
-        homes = [frozenset(route.home_regions) for route in self._of_host(host) if route.home_regions]
-        return frozenset.intersection(*homes) if homes else None
-
-    def _of_host(self, host: str) -> Sequence[Route]:
-        """The routes of a host, with or without its port; those with longer prefixes first."""
         of_host = self._by_host.get(host.lower())
         if of_host is None and ":" in host:
             of_host = self._by_host.get(host.rpartition(":")[0].lower())
-        return of_host or ()
+        for route in of_host or ():
+            if path.startswith(route.path_prefix):
+                return route
+        return None
 
 
 def parse_table(document: bytes) -> RouteTable:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -416,10 +416,16 @@
         FRONTS, FRONTS_TESTS, " and other.node > me.node", ""
     ),
     "a host's homes are those of all its routes": _removal(
-        "routing/table.py",
-        "tests/ingress/test_directory.py",
-        "frozenset.intersection(*homes) if homes",
-        "frozenset.union(*homes) if homes",
+        "routing/homes.py",
+        DIRECTORY,
+        "by_host.get(host, homes) & homes",
+        "by_host.get(host, homes) | homes",
+    ),
+    "the directory reads long configurations beside the loop": _removal(
+        "ingress/directory.py",
+        DIRECTORY,
+        "await asyncio.to_thread(read_homes, control.document)",
+        "read_homes(control.document)",
     ),
     "the directory goes by the newest configuration": _removal(
         "ingress/directory.py",
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
+import threading
 
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import Availability, ControlView, MemberRecord, control_item, member_item
+from fordtrestle.ingress import directory as directory_module
 from fordtrestle.ingress.directory import Directory
-from tests.exchanges import Client, loopback, request, serve
+from fordtrestle.routing.homes import read_homes
+from tests.exchanges import Client, loopback, request, serve, until
 from tests.ingress.stage import HOST, route
 
 REGIONS = ("r-1", "r-2", "r-3")
@@ -72,8 +76,27 @@
     directory = Directory(catalog, lambda: links, REGIONS, 5.0, random.Random(1))
     for sequence, home in enumerate(("r-2", "r-3"), start=1):
         catalog.merge([control_item(configuration(sequence, route(home_regions=[home])))], 0.0)
-        assert directory._homes(HOST) == {home}
-    assert directory._homes("") is None
+        await directory._homes_of(HOST)
+        await until(lambda: directory._reading is None)
+        assert await directory._homes_of(HOST) == {home}
+    assert await directory._homes_of("") is None
+
+
+@loopback
+async def test_a_long_configuration_is_read_once_beside_the_loop(monkeypatch):
+    catalog, loop_thread, threads = Catalog(), threading.get_ident(), []
+
+    def read(document):
+        threads.append(threading.get_ident())
+        return read_homes(document)
+
+    monkeypatch.setattr(directory_module, "read_homes", read)
+    directory = Directory(catalog, set, REGIONS, 5.0, random.Random(1))
+    assert await directory._homes_of(HOST) is None, "nothing is known"
+    catalog.merge([control_item(configuration(1, route(home_regions=["r-2"])))], 0.0)
+    asked = await asyncio.gather(*(directory._homes_of(HOST) for _ in range(9)))
+    assert asked == [{"r-2"}] * 9, "the first configuration is waited for"
+    assert len(threads) == 1 and loop_thread not in threads
 
 
 @loopback
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -82,6 +82,7 @@
     "replication/state.py",
     "routing/decision.py",
     "routing/fronts.py",
+    "routing/homes.py",
     "routing/intake.py",
     "routing/pick.py",
     "routing/reading.py",
