--- a/tests/peer/test_connection.py
+++ b/tests/peer/test_connection.py
@@ -173,3 +173,31 @@
     await one.close()
     await until(lambda: not other.links())
     await other.close()
+
+
+@loopback
+async def test_links_that_are_coming_up_do_not_hold_up_the_end():
+    """One whose machine says nothing, one that nobody listens for, one that has not said who it is."""
+    mesh = Mesh(Hello("one", ""), lambda link, message: None, lambda _: None)
+    await mesh.listen(Address("127.0.0.1", 0))
+    accepted = asyncio.Event()
+
+    async def say_nothing(reader, writer):
+        accepted.set()
+        await reader.read()
+        writer.close()
+
+    silent = await asyncio.start_server(say_nothing, "127.0.0.1", 0)
+    nobody = await asyncio.start_server(say_nothing, "127.0.0.1", 0)
+    ports = [server.sockets[0].getsockname()[1] for server in (silent, nobody)]
+    nobody.close()
+    mesh.dial([f"127.0.0.1:{port}" for port in ports])
+    await accepted.wait()
+    _, writer = await asyncio.open_connection(*mesh._server.sockets[0].getsockname())
+    await until(lambda: mesh._accepted)
+    dials = list(mesh._dials.values())
+    async with asyncio.timeout(1.0):
+        await mesh.close()
+        await asyncio.wait(dials)
+    writer.close()
+    silent.close()
