--- a/rig/system/draw_day.py
+++ b/rig/system/draw_day.py
@@ -32,7 +32,8 @@
 CLOSING_HOWS = ("", "timed", "taken", "oldest")
 
 
-def _line(kind: str, at: float, **fields: object) -> str:
+def line(kind: str, at: float, **fields: object) -> str:
+    """An entry of a day's list: its kind, its time and its fields."""
     told = [f"at = {at:.1f}", f'kind = "{kind}"']
     told += [
         f'{name} = "{value}"' if isinstance(value, str) else f"{name} = {value}"
@@ -43,7 +44,7 @@
 
 def _cut(rng: random.Random, at: float) -> str:
     how = " ".join(filter(None, (rng.choice(CUTS), rng.choice(SILENCES), rng.choice(AFTERS))))
-    return _line("core_cut", at, count=1, for_s=round(rng.uniform(2.0, 20.0), 1), how=how)
+    return line("core_cut", at, count=1, for_s=round(rng.uniform(2.0, 20.0), 1), how=how)
 
 
 def _fault(rng: random.Random, at: float) -> str:
@@ -52,40 +53,40 @@
     draws = (
         lambda: _cut(rng, at),
         lambda: _cut(rng, at),
-        lambda: _line("after_ack_wipe", at, for_s=for_s, how=rng.choice(("", "oldest", "timed"))),
-        lambda: _line("after_ack_kill", at, for_s=for_s, how=rng.choice(("", "kill", "timed"))),
-        lambda: _line("replace_core", at, x=for_s, how=rng.choice(("", "oldest"))),
-        lambda: _line("disk_stall", at, count=1, for_s=for_s, how=leader),
-        lambda: _line("disk_slow", at, count=1, x=30, for_s=for_s, how=leader),
-        lambda: _line("disk_full", at, count=1, for_s=for_s, how=leader),
-        lambda: _line("node_freeze", at, on="core", count=1, for_s=for_s, how=f"{leader} race".strip()),
-        lambda: _line("node_slow", at, on="core", count=1, x=5, for_s=for_s, how=leader),
-        lambda: _line("herd_kill", at, on="core", for_s=for_s, how=rng.choice(("", "off", "taken"))),
-        lambda: _line("reset_conns", at, on="core", share=1.0, x=0.6),
-        lambda: _line("region_cut", at, for_s=for_s, how=rng.choice(("", "one_way", "pair", "all"))),
-        lambda: _line("zone_loss", at, for_s=for_s),
-        lambda: _line("node_kill", at, on="core", count=1, for_s=for_s, how=f"power {leader}".strip()),
-        lambda: _line("clock_step", at, share=0.5, x=4000, for_s=for_s, how=rng.choice(("back", "ahead"))),
-        lambda: _line("srv_cut", at, share=0.3, for_s=for_s, how=rng.choice(("", "some", "one_way"))),
-        lambda: _line("ack_lost", at, for_s=20.0, x=0.7),
+        lambda: line("after_ack_wipe", at, for_s=for_s, how=rng.choice(("", "oldest", "timed"))),
+        lambda: line("after_ack_kill", at, for_s=for_s, how=rng.choice(("", "kill", "timed"))),
+        lambda: line("replace_core", at, x=for_s, how=rng.choice(("", "oldest"))),
+        lambda: line("disk_stall", at, count=1, for_s=for_s, how=leader),
+        lambda: line("disk_slow", at, count=1, x=30, for_s=for_s, how=leader),
+        lambda: line("disk_full", at, count=1, for_s=for_s, how=leader),
+        lambda: line("node_freeze", at, on="core", count=1, for_s=for_s, how=f"{leader} race".strip()),
+        lambda: line("node_slow", at, on="core", count=1, x=5, for_s=for_s, how=leader),
+        lambda: line("herd_kill", at, on="core", for_s=for_s, how=rng.choice(("", "off", "taken"))),
+        lambda: line("reset_conns", at, on="core", share=1.0, x=0.6),
+        lambda: line("region_cut", at, for_s=for_s, how=rng.choice(("", "one_way", "pair", "all"))),
+        lambda: line("zone_loss", at, for_s=for_s),
+        lambda: line("node_kill", at, on="core", count=1, for_s=for_s, how=f"power {leader}".strip()),
+        lambda: line("clock_step", at, share=0.5, x=4000, for_s=for_s, how=rng.choice(("back", "ahead"))),
+        lambda: line("srv_cut", at, share=0.3, for_s=for_s, how=rng.choice(("", "some", "one_way"))),
+        lambda: line("ack_lost", at, for_s=20.0, x=0.7),
     )
     return rng.choice(draws)()
 
 
 def _plan(rng: random.Random, at: float) -> str:
     draws = (
-        lambda: _line("config_change", at, how=rng.choice(("route", "weights", "timeout", "idle"))),
-        lambda: _line("config_race", at, count=rng.randint(1, 8), gap_s=round(rng.uniform(0.4, 1.5), 1)),
-        lambda: _line(
+        lambda: line("config_change", at, how=rng.choice(("route", "weights", "timeout", "idle"))),
+        lambda: line("config_race", at, count=rng.randint(1, 8), gap_s=round(rng.uniform(0.4, 1.5), 1)),
+        lambda: line(
             "bad_config", at, count=3, gap_s=0.7, how=rng.choice(("", "same_version", "old_version"))
         ),
-        lambda: _line("evacuate", at, for_s=round(rng.uniform(2.0, 8.0), 1)),
-        lambda: _line("replace_core", at, x=1.0, how=rng.choice(("planned", "planned oldest"))),
-        lambda: _line("roll_term", at, on="core", share=1.0, x=1.0, gap_s=round(rng.uniform(1.0, 3.0), 1)),
-        lambda: _line("scale_in", at, share=0.15),
-        lambda: _line("release", at, share=0.3, x=1.0, gap_s=1.0),
-        lambda: _line("seed_turnover", at),
-        lambda: _line("hup", at, on="core", share=1.0, gap_s=1.0),
+        lambda: line("evacuate", at, for_s=round(rng.uniform(2.0, 8.0), 1)),
+        lambda: line("replace_core", at, x=1.0, how=rng.choice(("planned", "planned oldest"))),
+        lambda: line("roll_term", at, on="core", share=1.0, x=1.0, gap_s=round(rng.uniform(1.0, 3.0), 1)),
+        lambda: line("scale_in", at, share=0.15),
+        lambda: line("release", at, share=0.3, x=1.0, gap_s=1.0),
+        lambda: line("seed_turnover", at),
+        lambda: line("hup", at, on="core", share=1.0, gap_s=1.0),
     )
     return rng.choice(draws)()
 
