--- a/rig/system/draw_rolls.py
+++ b/rig/system/draw_rolls.py
@@ -2,8 +2,8 @@
 
     python -m rig.system.draw_rolls SEED > day.toml
 
-All sidecars are restarted one at a time, in pairs, by threes or all at once, at gaps of 0.3 to 3 s, again before
-the first roll is over; control processes are rolled, too. Nothing fails on such a day.
+All sidecars are restarted one at a time, in pairs, by threes or all at once, at gaps of 0.3 to 3 s, again
+before the first roll is over; control processes are rolled, too. Nothing fails on such a day.
 """
 
 from __future__ import annotations
