--- a/tests/guards.py
+++ b/tests/guards.py
@@ -274,16 +274,16 @@
         "            pass\n",
     ),
     "only what may be repeated is sent again": _removal(
-        "ingress/exchange.py",
+        "routing/decision.py",
         ENDS,
-        "                if route.repeatable and self._progress.runs",
-        "                if self._progress.runs",
+        "        return route.repeatable and self.runs",
+        "        return self.runs",
     ),
     "no request is sent to more servers than allowed": _removal(
-        "ingress/exchange.py",
+        "routing/decision.py",
         "tests/ingress",
-        "if route.repeatable and self._progress.runs < route.max_attempts:",
-        "if route.repeatable:",
+        "return route.repeatable and self.runs < route.max_attempts",
+        "return route.repeatable",
     ),
     "a version of the catalog never goes back": _removal(
         "dissemination/catalog.py",
