Found a core whole, and anew where a whole core holds nothing

The other hypothesis, an id on disk without its epoch, holds in a narrower window and is mended too. Ruled out: links, directory, sidecars (five stores heard one another).

Change: the wish to found is a record, the first one on the disk. The first epoch opens with 2f+1 stores that are heard, after 4 s with f+1 or more, and its candidate votes first. A whole core (2f+1, all seeds among them) that hears of no primary and holds nothing begins anew once all of it has promised: what is acknowledged lies on f+1 disks. An epoch of one store is gone, and with it the core that could not form once the second store was lost as it was admitted. Epochs carry the core's identity; stores of another core are not taken in.

--- a/fordtrestle/peer/codec.py
+++ b/fordtrestle/peer/codec.py
@@ -90,6 +90,7 @@
     messages.Prune,
     delta.Copy,
     delta.ControlDelta,
+    replication.Founder,
 )
 _TAGS = {kind: _FIRST_TAG + index for index, kind in enumerate(_TYPES) if kind is not Retired}
 _BY_TAG = {tag: kind for kind, tag in _TAGS.items()}
--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -8,16 +8,19 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch
-from fordtrestle.replication.messages import Entry, Record, Snapshot, Vote
+from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch, is_same_core
+from fordtrestle.replication.messages import Entry, Founder, Record, Snapshot, Vote
 from fordtrestle.replication.state import Change, ControlState
 
 
 @dataclass(slots=True)
 class Durable:
-    """One store. `installed` is the ballot under which its state was last made whole."""
+    """One store. `installed` is the ballot under which its state was last made whole; `told_to_found`: as the
+    disk was found empty.
+    """
 
     store: str
+    told_to_found: bool = False
     promised: Ballot = NO_BALLOT
     accepted: Epoch | None = None
     installed: Ballot = NO_BALLOT
@@ -28,7 +31,10 @@
         """What the records of a disk come to; nothing if it never held a store."""
         found: Durable | None = None
         for record in records:
-            if isinstance(record, Vote):
+            if isinstance(record, Founder):
+                found = found or cls(record.store)
+                found.told_to_found = True
+            elif isinstance(record, Vote):
                 found = found or cls(record.store)
                 found.promised, found.accepted = record.promised, record.accepted
             elif found and isinstance(record, Snapshot):
@@ -38,13 +44,22 @@
         return found
 
     @property
-    def is_blank(self) -> bool:
-        """Whether this store has never taken part in anything."""
-        return self.accepted is None and self.promised == NO_BALLOT
+    def is_founder(self) -> bool:
+        """Whether this store is to found the core, and has not yet voted for any epoch."""
+        return self.told_to_found and self.accepted is None
+
+    @property
+    def core(self) -> str:
+        """The identity of the core that this store belongs to; empty while it holds nothing of one."""
+        return self.accepted.core if self.accepted and self.state.sequence else ""
 
     def snapshot(self) -> Sequence[Record]:
-        """The fewest records that restore this store."""
-        return [self._vote(), Snapshot(self.installed, self.state)]
+        """The fewest records that restore this store.
+
+        That it is to found goes first: of records that lose power some first ones may stay.
+        """
+        wish = [Founder(self.store)] if self.is_founder else []
+        return [*wish, self._vote(), Snapshot(self.installed, self.state)]
 
     def promise(self, ballot: Ballot) -> Sequence[Record] | None:
         """Promise a ballot; nothing where a newer one was promised."""
@@ -72,6 +87,8 @@
         known = self.accepted
         if known and (epoch.ballot < known.ballot or epoch == known):
             return []
+        if self.core and not is_same_core(epoch.core, self.core):
+            return []
         if known and epoch.ballot == known.ballot and epoch.earlier:
             return []  # it is known by now that this epoch is open
         self.promised, self.accepted = max(self.promised, epoch.ballot), epoch
--- a/fordtrestle/replication/epochs.py
+++ b/fordtrestle/replication/epochs.py
@@ -15,6 +15,7 @@
 
 
 NO_BALLOT = Ballot(0, "")
+UNKNOWN_CORE = "?"  # of an epoch or store whose version does not tell: it may belong to any core
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,7 @@
     witnesses: tuple[Store, ...]
     earlier: tuple[tuple[str, ...], ...] = ()
     kept: tuple[Ballot, int] | None = None  # the state that all replicas held as they promised
+    core: str = UNKNOWN_CORE  # the core's identity: the store that opened its first epoch
 
     @property
     def witness_ids(self) -> tuple[str, ...]:
@@ -55,7 +57,11 @@
     @property
     def quorums(self) -> tuple[tuple[str, ...], ...]:
         """The witness sets of each of which a majority has to vote."""
-        return tuple(dict.fromkeys((*self.earlier, self.witness_ids)))
+        return tuple(quorum for quorum in dict.fromkeys((*self.earlier, self.witness_ids)) if quorum)
+
+    def with_witnesses(self, witnesses: tuple[Store, ...]) -> Epoch:
+        """This epoch with other witnesses."""
+        return replace(self, witnesses=witnesses)
 
     def settled(self) -> Epoch:
         """This epoch once it is open: earlier witness sets are not asked any more."""
@@ -71,6 +77,16 @@
         return next((store for store in self.witnesses if store.id == store_id), None)
 
 
+def no_epoch(store: Store) -> Epoch:
+    """What the first epoch is opened on top of: there is nobody who might have to be asked."""
+    return Epoch(NO_BALLOT, store.id, (), (), core="")
+
+
+def is_same_core(one: str, other: str) -> bool:
+    """Whether two identities may be of one core."""
+    return one == other or UNKNOWN_CORE in (one, other)
+
+
 def supported(voted: Collection[str], quorums: Iterable[tuple[str, ...]]) -> bool:
     """Whether a majority of each of these sets has voted."""
     return all(majority(voted, quorum) for quorum in quorums)
--- a/fordtrestle/replication/leadership.py
+++ b/fordtrestle/replication/leadership.py
@@ -24,6 +24,7 @@
     confirmed_round: int = 0  # of heartbeats: a majority has answered it
     append_since: float | None = None  # when the oldest write under way was begun
     catch_up: CatchUp = field(default_factory=CatchUp)
+    _told_late: float | None = None
     _answered: dict[str, int] = field(default_factory=dict)  # by witness: the newest round
     _appended: dict[str, int] = field(default_factory=dict)  # by replica: the newest sequence
 
@@ -51,6 +52,16 @@
             self.committed = everywhere
             self.append_since = None
 
+    def lacking(self) -> set[str]:
+        """The replicas that have not said that they hold all that the furthest one holds."""
+        most = max(self._appended.values(), default=0)
+        return {store for store in self.epoch.replicas if self._appended.get(store, 0) < most}
+
+    def note_late(self) -> bool:
+        """Note that the oldest write under way takes too long; whether that is new."""
+        told, self._told_late = self._told_late, self.append_since
+        return told != self.append_since
+
     def is_out_of_touch(self, now: float) -> bool:
         """Whether no majority has answered for too long."""
         return now - self.confirmed_at > MAJORITY_S
--- a/fordtrestle/replication/messages.py
+++ b/fordtrestle/replication/messages.py
@@ -4,19 +4,22 @@
 
 from dataclasses import dataclass
 
-from fordtrestle.replication.epochs import Ballot, Epoch, Store
+from fordtrestle.replication.epochs import UNKNOWN_CORE, Ballot, Epoch, Store
 from fordtrestle.replication.state import Change, ControlState
 
 
 @dataclass(frozen=True, slots=True)
 class Announce:
     """A store is up. `counts`: whether its machine counts for the quorum; `leaving`: whether it is about to
-    end and waits for others to take its place.
+    end and waits for others to take its place; `core`: the identity of the core that it belongs to, empty
+    while it holds nothing of one; `founder`: whether it was told to found the core, and has not voted yet.
     """
 
     store: Store
     counts: bool
     leaving: bool
+    core: str = UNKNOWN_CORE
+    founder: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,4 +184,11 @@
     change: Change
 
 
-Record = Vote | Snapshot | Entry
+@dataclass(frozen=True, slots=True)
+class Founder:
+    """On disk: this store was told to found the core (`bootstrap`). Void once it has voted for an epoch."""
+
+    store: str
+
+
+Record = Vote | Snapshot | Entry | Founder
--- a/fordtrestle/replication/opening.py
+++ b/fordtrestle/replication/opening.py
@@ -5,6 +5,9 @@
 so that an older primary can acknowledge nothing more. The candidate is a replica of the newest epoch that
 they tell of, so that it holds all that was acknowledged. All replicas of the new epoch hold that state
 before any witness is asked to accept it.
+
+The first epoch of a core has nothing below it (`epochs.no_epoch`): its candidate votes for it before it asks
+anyone else to (`founding.py`).
 """
 
 from __future__ import annotations
@@ -12,7 +15,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from fordtrestle.replication.epochs import Ballot, Epoch, Store, choose_replicas, supported
+from fordtrestle.replication.epochs import NO_BALLOT, Ballot, Epoch, Store, choose_replicas, supported
 from fordtrestle.replication.messages import Accept, Accepted, Install, Installed, Message, Prepare, Promised
 from fordtrestle.replication.state import ControlState
 
@@ -31,6 +34,7 @@
     replica_count: int
     leaving: frozenset[str]  # stores that are about to end: replicas only where there are no others
     began: float  # s, steady clock
+    unanimous: tuple[Store, ...] = ()  # a whole core that begins anew: all of it has to promise
     newer: Epoch | None = None  # than the base: to be tried again on top of it, by one of its replicas
     proposed: Epoch | None = None
     opened: Epoch | None = None
@@ -40,6 +44,11 @@
     installing: tuple[str, ...] = ()  # the replicas to be, once they are chosen
     _repeats: int = 0
 
+    @property
+    def is_founding(self) -> bool:
+        """Whether this would be the first epoch."""
+        return self.base.ballot == NO_BALLOT
+
     @property
     def quorums(self) -> tuple[tuple[str, ...], ...]:
         """All witness sets that have to support this epoch."""
@@ -61,17 +70,14 @@
                 self.installed.add(sender)
                 return self._propose()
             case Accepted() if self.proposed and message.ballot == self.ballot:
-                self.accepted.add(sender)
-                if supported(self.accepted, self.quorums):
-                    self.opened = self.proposed.settled()
+                return self._take_acceptance(sender, self.proposed)
         return []
 
     def repeat(self, state: ControlState) -> list[Outgoing]:
         """What is still unanswered, once more: links lose messages. Whole states at doubled pauses only."""
         self._repeats += 1
         if self.proposed:
-            missing = self._everyone() - self.accepted
-            return [(store_id, Accept(self.proposed)) for store_id in sorted(missing)]
+            return self._ask_to_accept(self.proposed)
         if self.installing:
             if self._repeats & (self._repeats - 1):
                 return []
@@ -84,11 +90,18 @@
         ]
 
     def _everyone(self) -> set[str]:
-        return {store_id for quorum in self.quorums for store_id in quorum}
+        return {store_id for quorum in self.quorums for store_id in quorum} | self._unanimous_ids()
+
+    def _unanimous_ids(self) -> set[str]:
+        return {store.id for store in self.unanimous}
 
     def _take_promise(self, sender: str, message: Promised, state: ControlState) -> list[Outgoing]:
         known = message.accepted
-        if known and known.ballot > self.base.ballot:
+        if self.unanimous:
+            if known and (message.sequence or not self._covers(known)):
+                self.newer = known
+                return []
+        elif known and known.ballot > self.base.ballot:
             self.newer = known
             return []
         if known and known.ballot == self.base.ballot and not known.earlier:
@@ -103,7 +116,7 @@
         have yet to promise.
         """
         held = self.promised.get(self.me.id)
-        if self.installing or held is None or not supported(self.promised, self.quorums):
+        if self.installing or held is None or not self._is_promised():
             return []
         holding = {store_id for store_id, position in self.promised.items() if position == held}
         live = [store for store in self.witnesses if store.id in self.promised]
@@ -117,6 +130,28 @@
             return self._propose(held)
         return [(store_id, Install(self.ballot, state)) for store_id in chosen]
 
+    def _is_promised(self) -> bool:
+        return supported(self.promised, self.quorums) and self._unanimous_ids().issubset(self.promised)
+
+    def _covers(self, epoch: Epoch) -> bool:
+        """Whether of each witness of an epoch the store is here, or another one in its machine."""
+        here = {name for store in self.unanimous for name in (store.id, store.address)}
+        return all(store.id in here or store.address in here for store in epoch.witnesses)
+
+    def _take_acceptance(self, sender: str, proposed: Epoch) -> list[Outgoing]:
+        is_first = not self.accepted
+        self.accepted.add(sender)
+        if supported(self.accepted, self.quorums):
+            self.opened = proposed.settled()
+            return []
+        return self._ask_to_accept(proposed) if is_first and self.is_founding else []
+
+    def _ask_to_accept(self, proposed: Epoch) -> list[Outgoing]:
+        asked = self._everyone() - self.accepted
+        if self.is_founding and self.me.id in asked:
+            asked = {self.me.id}  # on disk before anyone else votes: who founds knows whether it has
+        return [(store_id, Accept(proposed)) for store_id in sorted(asked)]
+
     def _propose(self, kept: Position | None = None) -> list[Outgoing]:
         if self.proposed or not (kept or self.installed.issuperset(self.installing)):
             return []
@@ -127,8 +162,9 @@
             witnesses=self.witnesses,
             earlier=self.base.quorums,
             kept=kept,
+            core=self.base.core or self.me.id,
         )
-        return [(store_id, Accept(self.proposed)) for store_id in sorted(self._everyone())]
+        return self._ask_to_accept(self.proposed)
 
 
 def plan_witnesses(
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -24,6 +24,7 @@
 from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
 from fordtrestle.roles import metrics
+from fordtrestle.roles.event_log import EventLog
 from fordtrestle.roles.process import (
     CONTROL_ROLE,
     ENDPOINT_S,
@@ -45,15 +46,17 @@
 CLOSE_S = 1.5  # before its time is over, that a control process goes whoever needs it
 
 
-async def _open_store(log: RecordLog) -> Durable:
-    """What the disk holds, or a new store. Waits for a disk that refuses."""
+async def _open_store(log: RecordLog, told_to_found: bool) -> Durable:
+    """What the disk holds, or a new store, which may be told to found the core. Waits for a disk that
+    refuses.
+    """
     while True:
         try:
             records = await asyncio.to_thread(log.open)
             durable = Durable.restore(map(decode, records))
             if durable:
                 return durable
-            durable = Durable(secrets.token_hex(STORE_ID_BYTES))
+            durable = Durable(secrets.token_hex(STORE_ID_BYTES), told_to_found)
             await asyncio.to_thread(log.append, [encode(record) for record in durable.snapshot()])
             return durable
         except StorageError as error:
@@ -74,6 +77,7 @@
             counts=boot.counts_for_quorum,
             draw=self.process.rng.random,
             now=asyncio.get_running_loop().time(),
+            seeds=lambda: [str(seed) for seed in self.process.boot.seeds],
         )
         self.replicator = Replicator(
             self.node, log, self.process.mesh, self.process.is_control, self._changed
@@ -81,6 +85,7 @@
         self.heartbeats = Heartbeats(boot.node_name, boot.heartbeat_s)
         self._published = -1
         self._epoch = -1
+        self._log_events = EventLog(self.node.events)
         self.withdrawals = Withdrawals(
             me, self.process.mesh, self.process.gossip, lambda: self.node.newest_epoch
         )
@@ -96,7 +101,8 @@
                 self.replicator.received(message)
 
     def _changed(self) -> None:
-        """Spread what is committed; note who is primary."""
+        """Spread what is committed; tell what has happened, and who is primary."""
+        self._log_events()
         state = self.node.committed_state
         if state and state.sequence > self._published and self.node.is_ready:
             self._published = state.sequence
@@ -121,6 +127,7 @@
             "epoch": epoch.ballot.number if epoch else 0,
             "is_primary": self.node.is_primary,
             "is_ready": self.node.is_ready,
+            **metrics.of_events(self.node.events),
             "sequence": state.sequence,
             "log_bytes": self.replicator.log_bytes,
             "links": len(self.process.mesh.links()),
@@ -158,16 +165,14 @@
         eliot.log_message("control:no-disk", reason="data_dir is not set")
         return EXIT_FAILED
     log = RecordLog(boot.data_dir)
+    is_first = bool(boot.seeds) and boot.listen["control"] == boot.seeds[0]
     try:
-        durable = await _open_store(log)
+        durable = await _open_store(log, told_to_found=boot.bootstrap and is_first)
     except CodecError as error:
         eliot.log_message("control:disk-unreadable", reason=str(error))
         return EXIT_FAILED
     control = Control(boot, log, durable)
     process = control.process
-    founder = bool(boot.seeds) and boot.listen["control"] == boot.seeds[0]
-    if durable.is_blank and boot.bootstrap and founder:
-        control.node.found(asyncio.get_running_loop().time())
     await process.start()
     process.announce(Availability.READY)
     api = ControlApi(
--- a/fordtrestle/roles/metrics.py
+++ b/fordtrestle/roles/metrics.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Mapping
 
 from aiohttp import web
 
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import Availability, Phase
+from fordtrestle.replication.events import Events
 
 Figures = Mapping[str, float]
 PREFIX = "fordtrestle_"
@@ -34,6 +36,16 @@
     }
 
 
+def of_events(events: Events) -> dict[str, float]:
+    """How many events of the replication there were of each kind since the start."""
+    return {f"replication_{snake(name)}": count for name, count in events.counts.items()}
+
+
+def snake(name: str) -> str:
+    """A class's name in lower case, its words joined by underscores."""
+    return re.sub(r"(?<=.)(?=[A-Z])", "_", name).lower()
+
+
 def application(path: str, figures: Callable[[], Figures]) -> web.Application:
     """Serves the figures as they are when they are asked for."""
 
--- /dev/null
+++ b/tests/replication/test_founding.py
@@ -0,0 +1,325 @@
+"""A core forms whatever is lost while it does, as far as losses are tolerated, and never a second one."""
+
+from __future__ import annotations
+
+import pytest
+
+from fordtrestle.replication.durable import Durable
+from fordtrestle.replication.epochs import Ballot, Epoch, Store, no_epoch
+from fordtrestle.replication.events import StrangerMet, Wait, Waiting
+from fordtrestle.replication.founding import FEWER_S, UNTOLD_S, Founding
+from fordtrestle.replication.messages import Accepted, Announce, Heartbeat, Promised, Record
+from fordtrestle.replication.opening import Opening
+from fordtrestle.replication.state import ControlState
+from tests.replication.world import Machine, World
+
+STEPS = range(0, 240, 6)  # of the founding, at which something is lost; it takes some 150
+TICK_S = 0.05
+
+
+class Birth(World):
+    """Stores that have just started for the first time, of which the first one was told to found."""
+
+    def __init__(self, seed: int, machines: int) -> None:
+        super().__init__(seed, machines)
+        self.trouble = 0.0
+
+    def go(self, steps: int) -> None:
+        """Let so many things happen, in an order that the seed draws."""
+        for _ in range(steps):
+            self.step()
+
+    def run(self, seconds: float) -> None:
+        """Let the machines that are up run, with all that they say delivered at once."""
+        for _ in range(int(seconds / TICK_S)):
+            up = [machine for machine in self.machines if machine.node]
+            for machine in up:
+                self.tick(machine, TICK_S)
+                self.announce(machine)
+            for _ in range(6):
+                for machine in up:
+                    while machine.queue:
+                        self.sync(machine)
+                pending, self.pending = self.pending, []
+                for envelope in pending:
+                    self.deliver(envelope)
+            self.check()
+
+    def empty(self, *machines: Machine) -> None:
+        """These have lost their disks, or were never given the time to write to them."""
+        for machine in machines:
+            machine.node, machine.queue, machine.disk = None, [], []
+
+    def ready(self) -> list[Machine]:
+        return [machine for machine in self.machines if machine.node and machine.node.is_ready]
+
+    def waits(self) -> list[Waiting]:
+        """The waits that all have told."""
+        told = [event for machine in self.machines if machine.node for event in machine.node.events.take()]
+        return [event for event in told if isinstance(event, Waiting)]
+
+
+def cut_off(world: World, machine: Machine) -> None:
+    """Nothing passes between this machine and the others."""
+    for other in world.machines:
+        world.cut |= {
+            (machine.node.me.id, other.node.me.id),
+            (other.node.me.id, machine.node.me.id),
+        }
+
+
+@pytest.mark.parametrize("machines", [0, 1, 2, 3])
+def test_the_store_that_is_told_to_opens_the_first_epoch_with_all(machines):
+    world = Birth(1, machines)
+    world.run(1.0)
+    (primary,) = world.ready()
+    epoch = primary.node.epoch
+    assert primary.address == "10.0.0.0:1" and epoch.core == primary.node.me.id
+    assert (len(epoch.witnesses), len(epoch.replicas)) == (2 * machines + 1, machines + 1)
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+def test_power_that_is_lost_before_anything_is_on_disk(machines):
+    """The settings say only at the first start that a core is to be founded; nobody knows of it any more."""
+    world = Birth(1, machines)
+    world.empty(*world.machines)
+    world.heal()
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+@pytest.mark.parametrize("seed", range(3))
+def test_all_lose_power_at_any_step(machines, seed):
+    for steps in STEPS:
+        world = Birth(seed, machines)
+        world.go(steps)
+        for machine in world.machines:
+            world.stop(machine)
+        world.heal()
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+@pytest.mark.parametrize("seed", range(3))
+def test_the_founder_and_others_lose_their_disks_at_any_step(machines, seed):
+    for steps in STEPS:
+        world = Birth(seed, machines)
+        world.go(steps)
+        for machine in world.machines[:machines]:
+            world.wipe(machine)
+        for machine in world.machines[machines:]:
+            world.stop(machine)
+        world.heal()
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+def test_the_founder_is_cut_off_at_any_step(machines):
+    for steps in STEPS:
+        world = Birth(2, machines)
+        world.go(steps)
+        cut_off(world, world.machines[0])
+        world.run(6.0)
+        assert len(world.ready()) <= 1
+        world.heal()
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+def test_seeds_that_never_come_delay_a_core_and_join_it_later(machines):
+    world = Birth(1, machines)
+    late = world.machines[-machines:]
+    world.empty(*late)
+    world.run(FEWER_S - 0.5)
+    assert not world.ready()
+    world.run(2.0)
+    (primary,) = world.ready()
+    assert len(primary.node.epoch.witnesses) == machines + 1
+    for machine in late:
+        world.start(machine)
+    world.run(3.0)
+    assert len(primary.node.epoch.witnesses) == 2 * machines + 1
+
+
+@pytest.mark.parametrize("machines", [1, 2])
+def test_with_more_than_that_missing_nothing_is_founded_and_the_log_says_who_is_missing(machines):
+    world = Birth(1, machines)
+    missing = world.machines[1 : 2 + machines]
+    world.empty(*missing)
+    world.run(20.0)
+    assert not world.ready()
+    waits = [wait for wait in world.waits() if wait.wait is Wait.STORES]
+    assert waits[-1].missing == tuple(machine.address for machine in missing[:2])
+    assert len(waits) == 4, "after 1, 3, 7 and 15 s"
+    for machine in missing:
+        world.start(machine)
+    world.run(2.0)
+    assert world.ready()
+
+
+def test_a_witness_of_a_core_that_formed_with_fewer_is_lost_before_the_epoch_is_open():
+    """A has voted for an epoch of A and B alone, whose disk is lost before it has; C comes late."""
+    world = Birth(1, 1)
+    a, b, c = world.machines
+    known = Epoch(
+        Ballot(7, a.node.me.id), a.node.me.id, (a.node.me.id, b.node.me.id), (a.node.me, b.node.me), core="x"
+    )
+    a.disk = list(Durable(a.node.me.id, True, known.ballot, known).snapshot())
+    world.empty(b, c)
+    a.node, a.queue = None, []
+    primary = world.heal()
+    assert len(primary.epoch.witnesses) == 3
+
+
+def test_a_store_that_is_told_to_found_beside_a_core_joins_it():
+    """Its disk was lost, and its settings still say `bootstrap`."""
+    world = Birth(1, 1)
+    world.run(1.0)
+    a = world.machines[0]
+    world.propose(a)
+    world.run(0.5)
+    core = a.node.durable.core
+    world.wipe(a)
+    a.lives = 0  # so that it is told to again
+    world.start(a)
+    assert a.node.durable.is_founder
+    world.run(8.0)
+    (primary,) = world.ready()
+    assert primary is not a and primary.node.epoch.core == core
+    assert a.node.me.id in primary.node.epoch.witness_ids and not a.node.durable.is_founder
+
+
+def test_a_store_that_is_told_to_found_and_hears_a_core_alone_waits():
+    world = Birth(1, 1)
+    world.run(1.0)
+    a, b, c = world.machines
+    world.propose(a)
+    world.run(0.5)
+    world.wipe(a)
+    a.lives = 0
+    for machine in (b, c):
+        world.stop(machine)
+    world.start(a)
+    world.start(b)
+    world.run(10.0)
+    assert not world.ready()
+    world.start(c)
+    world.run(5.0)
+    (primary,) = world.ready()
+    assert primary.node.durable.state.evacuated == ("z0",)
+
+
+def test_two_cores_that_meet_keep_apart_and_say_so():
+    """Two were founded by mistake, each with a state of its own: none takes the other's stores in."""
+    one, other = Birth(1, 0), Birth(2, 0)
+    other.machines[0].address = "10.0.9.0:1"
+    for world in (one, other):
+        world.stores += 10 * (world is other)
+        world.empty(world.machines[0])
+        world.machines[0].lives = 0
+        world.machines[0].address = "10.0.0.0:1"
+        world.start(world.machines[0])
+        world.run(0.5)
+        world.propose(world.machines[0])
+        world.run(0.5)
+    (a,), (b,) = one.machines, other.machines
+    for _ in range(3):
+        a.node.receive(b.node.me.id, b.node.announcement(), a.now)
+    told = [event for event in a.node.events.take() if isinstance(event, StrangerMet)]
+    assert [event.store for event in told] == [b.node.me.id]
+    assert b.node.me.id not in a.node._contacts.ids()
+    a.node.receive(b.node.me.id, Heartbeat(_newer(b), 1), a.now)
+    assert a.node.is_primary and a.node.epoch.core == a.node.me.id
+
+
+def _newer(machine: Machine) -> Epoch:
+    """An epoch of that machine's core, newer than any."""
+    return Epoch(Ballot(99, "z"), "z", ("z",), (machine.node.me,), core=machine.node.me.id)
+
+
+# the pieces
+
+
+ME, B, C, D, E = (Store(name, f"10.0.0.{n}:1", f"10.0.0.{n}:2", f"z-{n}") for n, name in enumerate("abcde"))
+SEEDS = [store.control for store in (ME, B, C)]
+
+
+def said(*stores: Store, **told) -> list[Announce]:
+    return [Announce(store, True, False, **{"core": "", **told}) for store in stores]
+
+
+def test_a_whole_core_that_nobody_was_told_to_found_waits_for_each_seed_and_for_founders():
+    founding = Founding(ME, 1, True, 0.0)
+
+    def begins(heard, seeds=SEEDS):
+        founding.reset()
+        tries = [founding.plan(False, heard, seeds, at) for at in (0.0, UNTOLD_S)]
+        assert tries[0] is None
+        return tries[1]
+
+    assert not begins(said(B, D)), "a seed is missing: it may know more"
+    assert not begins([*said(B), *said(C, founder=True)])
+    assert not begins([*said(B), *said(C, core="a")])
+    assert not begins([*said(B, C), *said(D, core="a")])
+    assert not begins(said(B), [ME.control]), "two of three"
+    told = begins(said(B, C))
+    assert told.unanimous == (ME, B, C) and set(told.witnesses) == {ME, B, C}
+    assert Founding(B, 1, True, 0.0).plan(False, said(ME, C), SEEDS, 99.0) is None, "another goes first"
+
+
+def unanimous() -> Opening:
+    return Opening(ME, Ballot(5, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0, unanimous=(ME, B, C))
+
+
+def promise(accepted: Epoch | None, sequence: int = 0) -> Promised:
+    return Promised(Ballot(5, "a"), accepted, Ballot(0, ""), sequence)
+
+
+def epoch(*witnesses: Store) -> Epoch:
+    return Epoch(Ballot(2, "b"), "b", ("b",), witnesses, core="b")
+
+
+def test_a_core_begins_anew_only_where_all_promise_and_hold_nothing():
+    opening = unanimous()
+    for store_id in ("a", "b"):
+        assert not opening.receive(store_id, promise(None), ControlState())
+    assert not opening.repeat(ControlState())[1:], "C is asked again, and nobody to accept"
+    assert opening.receive("c", promise(epoch(B, C)), ControlState())
+    assert opening.proposed and not opening.newer
+
+
+@pytest.mark.parametrize("known", [promise(epoch(B, C), 1), promise(epoch(B, D))], ids=["state", "absent"])
+def test_a_core_does_not_begin_anew_over_state_or_a_witness_that_is_missing(known):
+    opening = unanimous()
+    for store_id in ("a", "b"):
+        opening.receive(store_id, promise(None), ControlState())
+    assert not opening.receive("c", known, ControlState())
+    assert opening.newer == known.accepted and not opening.proposed
+
+
+def test_a_witness_whose_disk_was_lost_is_not_missing():
+    again = Store("d", B.address, B.control, B.zone)
+    opening = Opening(
+        ME, Ballot(5, "a"), no_epoch(ME), (ME, again, C), 2, frozenset(), 0.0, unanimous=(ME, again, C)
+    )
+    for store_id, known in (("a", epoch(ME, B)), ("d", None), ("c", None)):
+        opening.receive(store_id, promise(known), ControlState())
+    assert opening.proposed
+
+
+def test_who_founds_votes_first():
+    opening = Opening(ME, Ballot(1, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0)
+    asked = []
+    for store_id in ("a", "b", "c"):
+        promised = Promised(Ballot(1, "a"), None, Ballot(0, ""), 0)
+        asked += opening.receive(store_id, promised, ControlState())
+    assert [receiver for receiver, _ in asked] == ["a"]
+    assert [receiver for receiver, _ in opening.repeat(ControlState())] == ["a"]
+    asked = opening.receive("a", Accepted(opening.ballot), ControlState())
+    assert [receiver for receiver, _ in asked] == ["b", "c"]
+
+
+def test_the_wish_to_found_outlives_power_and_ends_with_the_first_vote():
+    durable = Durable("a", told_to_found=True)
+    records: list[Record] = list(durable.snapshot())
+    for length in range(1, len(records) + 1):
+        assert Durable.restore(records[:length]).is_founder, "whichever first records reached the disk"
+    records += durable.accept(epoch(ME, B, C))
+    assert not Durable.restore(records).is_founder
+    assert not Durable.restore(durable.snapshot()).told_to_found
