Let versions speak with one another: tolerant fields, skipped types, a format on disk

Cause: a type that changed its fields got another tag, and a link ended over a tag that it did not know, so that a fleet could not be updated without an outage; a record file of another format would have been cut off as torn. Besides it cbor2 wraps what the decoding of a tag raises, so that no error of ours ever came through as itself.

Change: fields may be added behind the last one with a default, unknown types and values are skipped and counted, links agree on a version told in `Hello`, the file of records begins with its format and is left as it is where that is unknown.

--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -45,7 +45,8 @@
     return "\n".join([line, *(f"  {one.rule}: {one.text}" for one in findings[:TOLD_MOST])])
 
 
-def _seeds(text: str) -> list[int]:
+def seeds(text: str) -> list[int]:
+    """The seeds that FIRST or FIRST-LAST names."""
     first, _, last = text.partition("-")
     return list(range(int(first), int(last or first) + 1))
 
@@ -60,7 +61,7 @@
 def main() -> int:
     """Play the seeds; the exit code."""
     parser = argparse.ArgumentParser(description="Soak the whole system on loopback.")
-    parser.add_argument("--seeds", type=_seeds, default=[1], help="one, or FIRST-LAST")
+    parser.add_argument("--seeds", type=seeds, default=[1], help="one, or FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--sidecars", type=int, default=2, help="of each region")
     parser.add_argument("--clients", type=int, default=6, help="of each region")
--- /dev/null
+++ b/benchmarks/update_drill.py
@@ -0,0 +1,74 @@
+"""An update of the whole system and the way back: all processes are replaced one by one by a later version of
+the program, then by this one again, beside traffic and changes, with a control process killed on each way.
+
+    python -m benchmarks.update_drill [--seeds 1-3] [--sidecars 2] [--clients 6]
+
+Each seed is played twice, with the versions and with rolls at the same times, and judged by the users' rules.
+The exit code is 1 where a rule is broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from benchmarks.system_soak import seeds
+from rig.system.deployment import REGIONS
+from rig.system.soak.checks import check
+from rig.system.soak.play import Play
+from rig.system.soak.record import Record
+from rig.system.soak.schedule import draw_update
+
+SKIPPED = "peer:message-skipped"
+REFUSED = "peer:no-common-version"
+TOLD_MOST = 5
+
+
+def row(name: str, record: Record, broken: int) -> str:
+    """What came of one play."""
+    total, served = len(record.asked), sum(asked.whole and asked.status == 200 for asked in record.asked)
+    answers = Counter(asked.status for asked in record.asked if asked.status and asked.status >= 500)
+    failed = ", ".join(f"{count} of {status}" for status, count in sorted(answers.items())) or "none"
+    skipping = sum(SKIPPED in line for _, line in record.log_lines)
+    refused = sum(REFUSED in line for _, line in record.log_lines)
+    return (
+        f"{name}: {served} of {total} served, 5xx: {failed}; {record.changes} changes, "
+        f"{broken} rules broken; {skipping} links skipped unknown messages, {refused} were refused"
+    )
+
+
+def main() -> int:
+    """Play the seeds; the exit code."""
+    parser = argparse.ArgumentParser(description="Drill an update of the whole system on loopback.")
+    parser.add_argument("--seeds", type=seeds, default=[1], help="one, or FIRST-LAST")
+    parser.add_argument("--sidecars", type=int, default=2, help="of each region")
+    parser.add_argument("--clients", type=int, default=6, help="of each region")
+    given = parser.parse_args()
+    sidecars = [f"sidecar-{region}" for region in REGIONS]
+    sidecars += [
+        f"sidecar-{region}-{number}" for region in REGIONS for number in range(2, given.sidecars + 1)
+    ]
+    controls = [f"control-{region}" for region in REGIONS]
+    broken = 0
+    for seed in given.seeds:
+        for versions in (True, False):
+            schedule = draw_update(seed, sidecars, controls, versions)
+            with tempfile.TemporaryDirectory() as folder:
+                play = Play(schedule, Path(folder), given.sidecars, given.clients)
+                record = asyncio.run(play.run())
+                findings = check(record)
+            broken += len(findings)
+            print(
+                row(f"seed {seed}, {'versions' if versions else 'rolls'}", record, len(findings)), flush=True
+            )
+            for finding in findings[:TOLD_MOST]:
+                print(f"  {finding.rule}: {finding.text}")
+    return int(broken > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fordtrestle/peer/connection.py
+++ b/fordtrestle/peer/connection.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from fordtrestle.peer.codec import CodecError, decode, encode
+import eliot
+
+from fordtrestle.peer.codec import CodecError, UnknownMessage, decode, encode
 
 _LENGTH = struct.Struct(">I")
 _COMPRESSED = 1 << 31  # in the length: the payload is compressed (zlib)
@@ -58,6 +60,7 @@
         self._reader = reader
         self._writer = writer
         self._sent_at = asyncio.get_running_loop().time()
+        self.skipped = 0  # messages of another version of the protocol
         sock = writer.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -92,17 +95,27 @@
         return bytes(data)
 
     async def run(self, received: Callable[[Any], None]) -> None:
-        """Hand over messages until the connection ends."""
+        """Hand over messages until the connection ends. Those of another version are skipped."""
         probing = asyncio.create_task(self._probe())
         try:
             while True:
-                received(await self.receive())
+                try:
+                    message = await self.receive()
+                except UnknownMessage as error:
+                    self._skip(error)
+                else:
+                    received(message)
         except (*_GONE, TimeoutError):
             return
         finally:
             probing.cancel()
             self.close()
 
+    def _skip(self, unknown: UnknownMessage) -> None:
+        self.skipped += 1
+        if self.skipped == 1:
+            eliot.log_message("peer:message-skipped", reason=str(unknown))
+
     def close(self) -> None:
         """End the connection at once."""
         with contextlib.suppress(OSError, RuntimeError):
--- a/fordtrestle/peer/mesh.py
+++ b/fordtrestle/peer/mesh.py
@@ -8,7 +8,7 @@
 
 import eliot
 
-from fordtrestle.peer.codec import CodecError, Hello
+from fordtrestle.peer.codec import CodecError, Hello, agreed_version
 from fordtrestle.peer.connection import Connection
 from fordtrestle.settings.boot import Address
 
@@ -21,11 +21,12 @@
 
 
 class Link:
-    """A connection whose other side is known."""
+    """A connection whose other side is known; `version` of the protocol is what both sides speak."""
 
-    def __init__(self, hello: Hello, connection: Connection) -> None:
+    def __init__(self, hello: Hello, version: int, connection: Connection) -> None:
         self.node = hello.node
         self.peer = hello.peer
+        self.version = version
         self._connection = connection
 
     def send(self, message: Any) -> bool:
@@ -52,6 +53,8 @@
         self._received = received
         self._linked = linked
         self._links: dict[str, list[Link]] = {}  # by node, the newest last
+        self._refused: dict[str, tuple[int, int]] = {}  # by node: the versions it speaks, as told
+        self.skipped = 0  # messages of other versions, on connections that have ended
         self._dials: dict[str, asyncio.Task[None]] = {}  # by address
         self.round_trips: dict[str, float] = {}  # by address that is dialled: s, the shortest seen
         self._server: asyncio.Server | None = None
@@ -143,6 +146,14 @@
         except Exception:
             eliot.write_traceback()
 
+    def _refuse(self, hello: Hello) -> None:
+        """Say once of each node that it speaks no version that this one speaks."""
+        speaks = (hello.oldest, hello.newest)
+        if self._refused.get(hello.node) != speaks and len(self._refused) < LINKS_MOST:
+            self._refused[hello.node] = speaks
+            mine = (self._me.oldest, self._me.newest)
+            eliot.log_message("peer:no-common-version", node=hello.node, theirs=speaks, ours=mine)
+
     def _note_round_trip(self, address: str, took_s: float) -> None:
         """A connection came up after one round trip, and whatever delayed it."""
         self.round_trips[address] = min(took_s, self.round_trips.get(address, took_s))
@@ -151,12 +162,18 @@
         if not isinstance(hello, Hello) or hello.node == self._me.node:
             connection.close()
             return
-        link = Link(hello, connection)
+        version = agreed_version(self._me, hello)
+        if version is None:
+            self._refuse(hello)
+            connection.close()
+            return
+        link = Link(hello, version, connection)
         self._links.setdefault(link.node, []).append(link)
         try:
             self._linked(link)
             await connection.run(lambda message: self._hand_over(link, message))
         finally:
+            self.skipped += connection.skipped
             links = self._links[link.node]
             links.remove(link)
             if not links:
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -36,7 +36,7 @@
 )
 from fordtrestle.roles.process import main as run_role
 from fordtrestle.settings.boot import Boot
-from fordtrestle.storage.log import RecordLog, StorageError
+from fordtrestle.storage.log import RecordLog, StorageError, UnknownFormat
 
 STORE_ID_BYTES = 8
 SILENCE_CHECK_S = 0.3
@@ -59,6 +59,8 @@
             durable = Durable(secrets.token_hex(STORE_ID_BYTES), told_to_found)
             await asyncio.to_thread(log.append, [encode(record) for record in durable.snapshot()])
             return durable
+        except UnknownFormat:
+            raise
         except StorageError as error:
             eliot.log_message("control:disk-refuses", reason=repr(error.__cause__))
             await asyncio.sleep(DISK_RETRY_S)
@@ -131,6 +133,7 @@
             "sequence": state.sequence,
             "log_bytes": self.replicator.log_bytes,
             "links": len(self.process.mesh.links()),
+            "messages_skipped": self.process.mesh.skipped,
         }
 
     async def leave(self) -> None:
@@ -168,7 +171,7 @@
     is_first = bool(boot.seeds) and boot.listen["control"] == boot.seeds[0]
     try:
         durable = await _open_store(log, told_to_found=boot.bootstrap and is_first)
-    except CodecError as error:
+    except (CodecError, UnknownFormat) as error:
         eliot.log_message("control:disk-unreadable", reason=str(error))
         return EXIT_FAILED
     control = Control(boot, log, durable)
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -20,7 +20,7 @@
 from fordtrestle.dissemination.items import MEMBER_PREFIX, Availability, Item, MemberRecord, member_item
 from fordtrestle.dissemination.messages import GossipMessage, HasLink, Vouch
 from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, watched_by
-from fordtrestle.peer.codec import Hello
+from fordtrestle.peer.codec import PROTOCOL, PROTOCOL_OLDEST, Hello
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
 from fordtrestle.roles import metrics
@@ -55,7 +55,8 @@
         self.rng = random.Random(secrets.randbits(64))
         self.stopping = asyncio.Event()
         peer = peer_address(boot, boot.ip, role)
-        self.mesh = Mesh(Hello(boot.node_name, peer), self._received, self._linked)
+        hello = Hello(boot.node_name, peer, PROTOCOL, PROTOCOL_OLDEST)
+        self.mesh = Mesh(hello, self._received, self._linked)
         me = MemberRecord(
             node=boot.node_name,
             role=role,
--- a/fordtrestle/storage/log.py
+++ b/fordtrestle/storage/log.py
@@ -13,14 +13,22 @@
 from fordtrestle.storage.records import frame, scan
 
 NAME = "control.log"
+MAGIC = b"fordtrestle log "  # what a file begins with, before its format and an end of line
+FORMAT = 1
+HEADER = MAGIC + b"%d\n" % FORMAT
 NEW_NAME = "control.log.new"
 READ_BYTES = 1 << 20
+FORMAT_DIGITS_MOST = 8
 
 
 class StorageError(Exception):
     """The disk did not take or give what was asked; the cause is chained."""
 
 
+class UnknownFormat(StorageError):
+    """The file was written by a version of the program whose format this one does not read."""
+
+
 class RecordLog:
     """The file of one store. One thread at a time."""
 
@@ -33,7 +41,7 @@
 
     def open(self) -> list[bytes]:
         """Read all whole records, cut off a torn tail and sync what is left. `StorageError` if the disk
-        refuses.
+        refuses; `UnknownFormat`, with the file untouched, if it is of another version.
         """
         try:
             os.makedirs(self._folder, exist_ok=True)
@@ -42,8 +50,9 @@
             self.close()
             self._file = os.open(self._folder / NAME, os.O_RDWR | os.O_CREAT, 0o644)
             data = self._read_all()
-            records = list(scan(data))
-            self.size = records[-1][1] if records else 0
+            start = self._start_of(data)
+            records = list(scan(data[start:]))
+            self.size = start + records[-1][1] if records else 0
             os.ftruncate(self._file, self.size)
             # What a killed process wrote may not have been synced, nor the name of a file that it rewrote:
             # whoever reads it here rests on it.
@@ -55,7 +64,7 @@
 
     def append(self, payloads: Iterable[bytes]) -> None:
         """Write records behind the last one and sync. `StorageError` leaves the file as it was."""
-        data = b"".join(map(frame, payloads))
+        data = (b"" if self.size else HEADER) + b"".join(map(frame, payloads))
         try:
             if not self._folder_synced:
                 self._sync_folder()
@@ -72,7 +81,7 @@
         """Put these records in the place of all others, at once. `StorageError` leaves the old file in
         force.
         """
-        data = b"".join(map(frame, payloads))
+        data = HEADER + b"".join(map(frame, payloads))
         new = -1
         try:
             new = os.open(self._folder / NEW_NAME, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
@@ -99,6 +108,18 @@
             os.close(self._file)
             self._file = -1
 
+    def _start_of(self, data: bytes) -> int:
+        """Where the records begin. Files of the first versions have no header; one whose header is torn was
+        never synced, and holds nothing.
+        """
+        if not data.startswith(MAGIC):
+            return 0
+        told, end, _ = data[len(MAGIC) : len(MAGIC) + FORMAT_DIGITS_MOST].partition(b"\n")
+        if end and told.isdigit() and int(told) != FORMAT:
+            name = self._folder / NAME
+            raise UnknownFormat(f"{name} has format {int(told)}; this version reads {FORMAT}")
+        return len(HEADER)
+
     def _read_all(self) -> bytes:
         data = bytearray()
         while part := os.pread(self._file, READ_BYTES, len(data)):
--- a/rig/system/deployment.py
+++ b/rig/system/deployment.py
@@ -18,6 +18,7 @@
 INTERNAL = (8150, 8159)
 STOP_S = 10.0
 PROGRAM = ("-m", "fordtrestle")
+NEXT_PROGRAM = ("-m", "rig.system.next_version")
 GRACE_S = 3.0  # short, so that a demonstration ends soon
 
 
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from rig.system.deployment import PROGRAM, REGIONS, Deployment, Machine
+from rig.system.deployment import NEXT_PROGRAM, PROGRAM, REGIONS, Deployment, Machine
 from rig.system.fleet import servers_of, until_ready
 from rig.system.soak.clients import Client, Operator
 from rig.system.soak.record import Life, Record
@@ -88,6 +88,11 @@
             life.overdue = state
             self.send(signal.SIGKILL)
 
+    def replace(self, program: Sequence[str]) -> None:
+        """Start another program from the next start on, and let the process end for it."""
+        self._program = program
+        self.tell_to_end()
+
     def disturb(self, what: signal.Signals) -> None:
         """A signal that is no planned work."""
         if self._life:
@@ -174,6 +179,10 @@
                 tasks.create_task(self._operator.evacuate(session, zone, step.for_s, until))
             case Action.ROLL:
                 self._supervisors[step.target].tell_to_end()
+            case Action.UPDATE:
+                self._supervisors[step.target].replace(NEXT_PROGRAM)
+            case Action.REVERT:
+                self._supervisors[step.target].replace(PROGRAM)
             case Action.HUP:
                 self._supervisors[step.target].send(signal.SIGHUP)
             case Action.KILL:
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -20,10 +20,14 @@
     FREEZE = "SIGSTOP, and SIGCONT after a while"
     CHANGE = "a change of the configuration"
     EVACUATE = "a zone is emptied and taken back after a while"
+    UPDATE = "a roll to the next version of the program"
+    REVERT = "a roll back to this version"
 
 
-PLANNED = frozenset({Action.ROLL, Action.HUP, Action.CHANGE, Action.EVACUATE})
-OF_MACHINES = frozenset({Action.ROLL, Action.HUP, Action.KILL, Action.FREEZE})
+ROLLS = frozenset({Action.ROLL, Action.UPDATE, Action.REVERT})
+PLANNED = ROLLS | {Action.HUP, Action.CHANGE, Action.EVACUATE}
+OF_MACHINES = ROLLS | {Action.HUP, Action.KILL, Action.FREEZE}
+UPDATE_GAP_S = 1.5  # between two machines that are updated
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +82,25 @@
     return Schedule(seed, lasts_s, planned_only, tuple(kept))
 
 
+def draw_update(seed: int, sidecars: list[str], controls: list[str], versions: bool = True) -> Schedule:
+    """All machines are replaced by the next version one by one, then by this one again, beside changes, with
+    a control process killed amid each way. Without `versions` they are rolled at the same times.
+    """
+    rng = random.Random(seed)
+    names = sidecars + controls
+    steps, at = [], 1.0
+    for action in (Action.UPDATE, Action.REVERT):
+        kill_at = at + rng.uniform(0.3, 0.7) * UPDATE_GAP_S * len(names)
+        steps.append(Step(kill_at, Action.KILL, rng.choice(controls)))
+        for name in rng.sample(names, len(names)):
+            steps.append(Step(at, action if versions else Action.ROLL, name))
+            at += UPDATE_GAP_S
+    until = at + SETTLE_S
+    steps += [Step(change_at, Action.CHANGE) for change_at in _times(rng, until - SETTLE_S, 0.2, 1.0)]
+    steps.sort(key=lambda step: step.at)
+    return Schedule(seed, until, False, tuple(steps))
+
+
 def _times(rng: random.Random, until: float, least_s: float, most_s: float) -> list[float]:
     """Times at drawn gaps."""
     times = [rng.uniform(0.5, most_s)]
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -296,6 +296,30 @@
         "        if core and not is_same_core(core, epoch.core):\n",
         "        if False:\n",
     ),
+    "a message of another version is skipped": _removal(
+        "peer/connection.py",
+        "tests/peer",
+        "                except UnknownMessage as error:\n",
+        "                except MemoryError as error:\n",
+    ),
+    "a value that is not known is of another version": _removal(
+        "peer/codec.py",
+        "tests/peer",
+        "        raise UnknownMessage(str(error)) from error\n",
+        "        raise\n",
+    ),
+    "fields of a later version are left out": _removal(
+        "peer/codec.py", "tests/peer", "list(values[: len(names)])", "list(values)"
+    ),
+    "no link is up without a version that both sides speak": _removal(
+        "peer/mesh.py", "tests/peer", "        if version is None:\n", "        if version == -1:\n"
+    ),
+    "a file of an unknown format is left as it is": _removal(
+        LOG,
+        LOG_TESTS,
+        "        if end and told.isdigit() and int(told) != FORMAT:\n",
+        "        if False:\n",
+    ),
     "a request's answer has its id": _removal(
         "forward/client.py",
         ENDS,
--- /dev/null
+++ b/tests/peer/test_versions.py
@@ -0,0 +1,185 @@
+"""Versions of the program speak with one another, and read what others wrote, as far as the rules of
+`docs/design/versions.md` go; the tables of each landed protocol stand in `wire/`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from pathlib import Path
+
+import cbor2
+import pytest
+
+from fordtrestle.dissemination.items import Availability, MemberRecord
+from fordtrestle.dissemination.messages import Want
+from fordtrestle.peer import codec
+from fordtrestle.peer.codec import CodecError, Hello, UnknownMessage, agreed_version, decode, encode, table
+from fordtrestle.peer.connection import Connection, frame
+from fordtrestle.peer.mesh import Mesh
+from fordtrestle.replication.epochs import UNKNOWN_CORE, Ballot, Epoch
+from fordtrestle.replication.messages import Announce
+from fordtrestle.settings.boot import Address
+from tests.exchanges import loopback, until
+from tests.peer.test_connection import talk
+
+TABLES = sorted((Path(__file__).parent / "wire").glob("protocol-*.json"))
+NEWS = cbor2.dumps(cbor2.CBORTag(codec._FIRST_TAG + 400, ["of a later version"]))
+
+
+def faults(old: dict, new: dict) -> list[str]:
+    """What of an older table a newer one breaks."""
+    found = []
+    for tag, (name, *fields) in old["types"].items():
+        name_now, *fields_now = new["types"].get(tag, [""])
+        if (name, fields) != (name_now, fields_now[: len(fields)]):
+            found.append(f"{name} is not {name_now} {fields_now}")
+        elif len(fields_now) - len(fields) > new["optional"][tag] - old["optional"][tag]:
+            found.append(f"{name} has gained a field that has to be there")
+    for name, values in old["values"].items():
+        if values.items() - new["values"].get(name, {}).items():
+            found.append(f"{name} has lost values")
+    return found
+
+
+@pytest.mark.parametrize("path", TABLES, ids=lambda path: path.stem)
+def test_what_landed_once_can_still_be_read(path):
+    assert not faults(json.loads(path.read_text()), table())
+
+
+def test_the_newest_table_is_kept():
+    """Where this fails, the change is one that the rule allows, or the test above fails too: write the table
+    down under its number, a new one where others have to know of it.
+    """
+    newest = json.loads(TABLES[-1].read_text())
+    assert newest == json.loads(json.dumps(table()))
+
+
+def _without_a_field(new):
+    new["types"]["48103"].pop()
+
+
+def _in_another_order(new):
+    new["types"]["48103"][1:3] = reversed(new["types"]["48103"][1:3])
+
+
+def _under_another_tag(new):
+    new["types"]["48999"] = new["types"].pop("48103")
+
+
+def _with_a_field_that_is_needed(new):
+    new["types"]["48103"].append("mood")
+
+
+def _with_another_value(new):
+    new["values"]["ServerRecord.phase"]["SERVING"] = 9
+
+
+BREAKS = (
+    _without_a_field,
+    _in_another_order,
+    _under_another_tag,
+    _with_a_field_that_is_needed,
+    _with_another_value,
+)
+
+
+@pytest.mark.parametrize("change", BREAKS)
+def test_a_change_against_the_rule_is_found(change):
+    new = copy.deepcopy(json.loads(json.dumps(table())))
+    change(new)
+    assert len(faults(table(), new)) == 1
+
+
+def test_a_field_that_can_be_left_out_may_be_added():
+    new = copy.deepcopy(json.loads(json.dumps(table())))
+    new["types"]["48103"].append("mood")
+    new["optional"]["48103"] += 1
+    new["types"]["48999"] = ["News", "text"]
+    new["values"]["ServerRecord.phase"]["RESTING"] = 9
+    assert not faults(table(), new)
+
+
+def fields_of(message) -> tuple[int, list]:
+    tagged = cbor2.loads(encode(message), tag_hook=None)
+    return tagged.tag, list(tagged.value)
+
+
+def test_fields_that_lack_have_their_defaults_and_others_are_left_out():
+    told = Epoch(Ballot(3, "a"), "a", ("a",), (), core="c")
+    tag, values = fields_of(told)
+    longer = decode(cbor2.dumps(cbor2.CBORTag(tag, [*values, "later"])))
+    assert longer == told
+    shorter = decode(cbor2.dumps(cbor2.CBORTag(tag, values[:-1])))
+    assert shorter.core == UNKNOWN_CORE
+    with pytest.raises(CodecError):
+        decode(cbor2.dumps(cbor2.CBORTag(tag, values[:3])))
+
+
+def test_a_value_that_is_not_known_is_of_another_version():
+    member = MemberRecord("n", "sidecar", "z", "r", "p", "f", Availability.READY)
+    tag, values = fields_of(member)
+    values[-1] = 99
+    with pytest.raises(UnknownMessage):
+        decode(cbor2.dumps(cbor2.CBORTag(tag, values)))
+
+
+def test_a_store_of_the_version_before_belongs_to_no_core_that_could_be_told():
+    tag, values = fields_of(Announce("s", True, False, "c", True))
+    told = decode(cbor2.dumps(cbor2.CBORTag(tag, values[:3])))
+    assert (told.core, told.founder) == (UNKNOWN_CORE, False)
+
+
+@loopback
+async def test_messages_of_another_version_are_skipped_and_counted():
+    received, connections = [], []
+
+    async def serve(reader, writer):
+        connections.append(Connection(reader, writer))
+        await connections[0].run(received.append)
+
+    server, connection = await talk(serve)
+    for payload in (NEWS, encode(Want(("a",))), NEWS, encode(Want(("b",)))):
+        connection.write(frame(payload))
+    await until(lambda: len(received) == 2)
+    assert received == [Want(("a",)), Want(("b",))] and connections[0].skipped == 2
+    connection.close()
+    server.close()
+
+
+@pytest.mark.parametrize(
+    ("mine", "other", "agreed"),
+    [
+        ((1, 1), (1, 1), 1),
+        ((3, 1), (2, 2), 2),
+        ((3, 2), (1, 1), None),
+        ((2, 1), (4, 3), None),
+        ((1, 1), (0, 0), None),
+    ],
+)
+def test_both_sides_take_the_newest_version_that_both_speak(mine, other, agreed):
+    one, two = Hello("a", "", *mine), Hello("b", "", *other)
+    assert agreed_version(one, two) == agreed_version(two, one) == agreed
+
+
+@pytest.mark.parametrize(("other", "agreed"), [((3, 1), 1), ((3, 2), None)])
+@loopback
+async def test_a_link_is_up_only_where_a_version_is_spoken_on_both_sides(other, agreed, monkeypatch):
+    told = []
+    monkeypatch.setattr("fordtrestle.peer.mesh.eliot.log_message", lambda kind, **_: told.append(kind))
+    linked = []
+    here = Mesh(Hello("here", "127.0.0.1:0", 1, 1), lambda *_: None, linked.append)
+    await here.listen(Address("127.0.0.1", 0))
+    port = here._server.sockets[0].getsockname()[1]
+    there = Mesh(Hello("there", "", *other), lambda *_: None, linked.append)
+    there.dial([f"127.0.0.1:{port}"])
+    if agreed is None:
+        await until(lambda: len(there._refused) == len(here._refused) == 1)
+        await asyncio.sleep(0)
+        assert not linked and told.count("peer:no-common-version") == 2
+    else:
+        await until(lambda: len(linked) == 2)
+        assert {link.version for link in linked} == {agreed}
+    await there.close()
+    await here.close()
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from fordtrestle.storage import log as log_module
-from fordtrestle.storage.log import NAME, NEW_NAME, RecordLog, StorageError
+from fordtrestle.storage.log import HEADER, MAGIC, NAME, NEW_NAME, RecordLog, StorageError, UnknownFormat
 from fordtrestle.storage.records import frame, scan
 from tests.storage.disk import Disk, Stopped
 
@@ -231,3 +231,35 @@
                 disk.lose_power()
                 log, found = opened(disk)
                 assert found == held, "what was read was not on disk yet"
+
+
+def test_a_file_of_an_unknown_format_is_refused_and_left_as_it_is(tmp_path):
+    later = MAGIC + b"2\n" + b"whatever a later version writes"
+    (tmp_path / NAME).write_bytes(later)
+    with pytest.raises(UnknownFormat, match=r"format 2; this version reads 1"):
+        RecordLog(tmp_path).open()
+    assert (tmp_path / NAME).read_bytes() == later
+
+
+def test_a_file_without_a_header_is_read_and_has_one_once_it_is_rewritten(tmp_path):
+    (tmp_path / NAME).write_bytes(frame(b"one"))
+    log = RecordLog(tmp_path)
+    assert log.open() == [b"one"]
+    log.append([b"two"])
+    log.close()
+    assert reopened(tmp_path) == [b"one", b"two"]
+    log.open()
+    log.rewrite([b"all"])
+    log.close()
+    assert (tmp_path / NAME).read_bytes().startswith(HEADER)
+    assert reopened(tmp_path) == [b"all"]
+
+
+@pytest.mark.parametrize("length", range(len(HEADER) + 3))
+def test_a_header_that_is_torn_was_never_synced(tmp_path, length):
+    (tmp_path / NAME).write_bytes((HEADER + frame(b"one"))[:length])
+    log = RecordLog(tmp_path)
+    assert log.open() == []
+    log.append([b"two"])
+    log.close()
+    assert reopened(tmp_path) == [b"two"]
