Found only a whole core; tell the format in a record

With it goes beginning anew over known epochs: no epoch is stuck by f lost disks any more.

The header of the file is a record: a version that knows of no formats would have cut off everything behind bytes that are no record; a record that it can't read it leaves alone, with the file.

--- a/fordtrestle/replication/candidacy.py
+++ b/fordtrestle/replication/candidacy.py
@@ -70,7 +70,7 @@
         *,
         promised: Ballot,
         leaving: frozenset[str],
-        unanimous: tuple[Store, ...],
+        unanimous: frozenset[str],
         now: float,
     ) -> list[Outgoing]:
         """Begin to open an epoch on top of another one."""
--- a/fordtrestle/replication/durable.py
+++ b/fordtrestle/replication/durable.py
@@ -50,8 +50,8 @@
 
     @property
     def core(self) -> str:
-        """The identity of the core that this store belongs to; empty while it holds nothing of one."""
-        return self.accepted.core if self.accepted and self.state.sequence else ""
+        """The identity of the core that this store belongs to; empty while it knows of no epoch."""
+        return self.accepted.core if self.accepted else ""
 
     def snapshot(self) -> Sequence[Record]:
         """The fewest records that restore this store.
--- a/fordtrestle/replication/messages.py
+++ b/fordtrestle/replication/messages.py
@@ -12,7 +12,7 @@
 class Announce:
     """A store is up. `counts`: whether its machine counts for the quorum; `leaving`: whether it is about to
     end and waits for others to take its place; `core`: the identity of the core that it belongs to, empty
-    while it holds nothing of one; `founder`: whether it was told to found the core, and has not voted yet.
+    while it knows of no epoch; `founder`: whether it was told to found the core, and has not voted yet.
     """
 
     store: Store
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -112,6 +112,7 @@
             and leadership.known_open
             and not self._candidacy.opening
             and len(leadership.epoch.replicas) >= self._replicas
+            and len(leadership.epoch.witnesses) >= self._target
         )
 
     def reachable_primary(self, now: float) -> Store | None:
@@ -339,9 +340,7 @@
             self._start_prevote(now)
 
     def _plan_founding(self, now: float) -> FoundingPlan | None:
-        is_needless = self.durable.state.sequence or self._watch.leaving or self._watch.reachable(now)
-        if is_needless:
-            self._founding.reset()
+        if self.durable.accepted or self._watch.leaving:
             return None
         heard = self._contacts.announced(now)
         return self._founding.plan(self.durable.is_founder, heard, self._seeds(), now)
@@ -418,7 +417,7 @@
         witnesses: tuple[Store, ...],
         why: Why,
         now: float,
-        unanimous: tuple[Store, ...] = (),
+        unanimous: frozenset[str] = frozenset(),
     ) -> None:
         started = self._candidacy.open(
             base,
--- a/fordtrestle/replication/opening.py
+++ b/fordtrestle/replication/opening.py
@@ -34,7 +34,7 @@
     replica_count: int
     leaving: frozenset[str]  # stores that are about to end: replicas only where there are no others
     began: float  # s, steady clock
-    unanimous: tuple[Store, ...] = ()  # a whole core that begins anew: all of it has to promise
+    unanimous: frozenset[str] = frozenset()  # stores that all have to promise, besides the majorities
     newer: Epoch | None = None  # than the base: to be tried again on top of it, by one of its replicas
     proposed: Epoch | None = None
     opened: Epoch | None = None
@@ -90,18 +90,11 @@
         ]
 
     def _everyone(self) -> set[str]:
-        return {store_id for quorum in self.quorums for store_id in quorum} | self._unanimous_ids()
-
-    def _unanimous_ids(self) -> set[str]:
-        return {store.id for store in self.unanimous}
+        return {store_id for quorum in self.quorums for store_id in quorum} | self.unanimous
 
     def _take_promise(self, sender: str, message: Promised, state: ControlState) -> list[Outgoing]:
         known = message.accepted
-        if self.unanimous:
-            if known and (message.sequence or not self._covers(known)):
-                self.newer = known
-                return []
-        elif known and known.ballot > self.base.ballot:
+        if known and known.ballot > self.base.ballot:
             self.newer = known
             return []
         if known and known.ballot == self.base.ballot and not known.earlier:
@@ -131,12 +124,7 @@
         return [(store_id, Install(self.ballot, state)) for store_id in chosen]
 
     def _is_promised(self) -> bool:
-        return supported(self.promised, self.quorums) and self._unanimous_ids().issubset(self.promised)
-
-    def _covers(self, epoch: Epoch) -> bool:
-        """Whether of each witness of an epoch the store is here, or another one in its machine."""
-        here = {name for store in self.unanimous for name in (store.id, store.address)}
-        return all(store.id in here or store.address in here for store in epoch.witnesses)
+        return supported(self.promised, self.quorums) and self.unanimous.issubset(self.promised)
 
     def _take_acceptance(self, sender: str, proposed: Epoch) -> list[Outgoing]:
         is_first = not self.accepted
--- a/fordtrestle/storage/log.py
+++ b/fordtrestle/storage/log.py
@@ -13,12 +13,12 @@
 from fordtrestle.storage.records import frame, scan
 
 NAME = "control.log"
-MAGIC = b"fordtrestle log "  # what a file begins with, before its format and an end of line
-FORMAT = 1
-HEADER = MAGIC + b"%d\n" % FORMAT
+MAGIC = b"fordtrestle log "  # what the first record begins with, before its format
+FORMAT = b"1"
+HEADER = frame(MAGIC + FORMAT)  # a record: versions that know of no header refuse it, and leave the file
 NEW_NAME = "control.log.new"
 READ_BYTES = 1 << 20
-FORMAT_DIGITS_MOST = 8
+FORMAT_TOLD_MOST = 16  # bytes
 
 
 class StorageError(Exception):
@@ -50,9 +50,9 @@
             self.close()
             self._file = os.open(self._folder / NAME, os.O_RDWR | os.O_CREAT, 0o644)
             data = self._read_all()
-            start = self._start_of(data)
-            records = list(scan(data[start:]))
-            self.size = start + records[-1][1] if records else 0
+            whole = list(scan(data))
+            records = self._without_header(whole)
+            self.size = whole[-1][1] if whole else 0
             os.ftruncate(self._file, self.size)
             # What a killed process wrote may not have been synced, nor the name of a file that it rewrote:
             # whoever reads it here rests on it.
@@ -108,17 +108,16 @@
             os.close(self._file)
             self._file = -1
 
-    def _start_of(self, data: bytes) -> int:
-        """Where the records begin. Files of the first versions have no header; one whose header is torn was
-        never synced, and holds nothing.
-        """
-        if not data.startswith(MAGIC):
-            return 0
-        told, end, _ = data[len(MAGIC) : len(MAGIC) + FORMAT_DIGITS_MOST].partition(b"\n")
-        if end and told.isdigit() and int(told) != FORMAT:
+    def _without_header(self, records: list[tuple[bytes, int]]) -> list[tuple[bytes, int]]:
+        """The records behind the one that tells the format, which files of the first versions do not have."""
+        if not records or not records[0][0].startswith(MAGIC):
+            return records
+        told = records[0][0][len(MAGIC) :]
+        if told != FORMAT:
             name = self._folder / NAME
-            raise UnknownFormat(f"{name} has format {int(told)}; this version reads {FORMAT}")
-        return len(HEADER)
+            text = told[:FORMAT_TOLD_MOST].decode(errors="replace")
+            raise UnknownFormat(f"{name} has format {text}; this version reads {FORMAT.decode()}")
+        return records[1:]
 
     def _read_all(self) -> bytes:
         data = bytearray()
