--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -48,12 +48,27 @@
     frozen_until: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Weather:
+    """How links and disks do. A message that is lost is sent again by TCP, and those behind it wait."""
+
+    jitter_s: float = 0.0  # at most, beside the delay
+    lost: float = 0.0  # share of messages
+    resend_s: tuple[float, float] = (0.2, 0.4)
+    sync_s: float = SYNC_S
+
+
+CALM = Weather()
+
+
 class Deployment:
     """Some stores in virtual time."""
 
-    def __init__(self, delay_s: float, seed: int, machines: int = MACHINES) -> None:
+    def __init__(self, delay_s: float, seed: int, machines: int = MACHINES, weather: Weather = CALM) -> None:
         self.now = 0.0
         self._delay_s = delay_s
+        self._weather = weather
+        self._link_free_at: dict[tuple[str, str], float] = {}  # by sender and receiver
         self.rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -122,7 +137,7 @@
         life = machine.life
         machine.synced_at = max(machine.synced_at, self.now, machine.stalled_until)
         if effects.records:
-            machine.synced_at += SYNC_S
+            machine.synced_at += self._weather.sync_s
 
         def synced() -> None:
             if machine.life != life or machine.node is None:
@@ -141,7 +156,21 @@
             node.receive(receiver, message, self.now)
             return
         sender = node.me.id
-        self.at(self.now + self._delay_s, lambda: self._deliver(machine.address, sender, receiver, message))
+        at = self._arrival(sender, receiver)
+        self.at(at, lambda: self._deliver(machine.address, sender, receiver, message))
+
+    def _arrival(self, sender: str, receiver: str) -> float:
+        """When a message arrives that is sent now: none overtakes another on its link."""
+        weather, delay_s = self._weather, self._delay_s
+        if weather is CALM:
+            return self.now + delay_s
+        delay_s += weather.jitter_s * self.rng.random()
+        if self.rng.random() < weather.lost:
+            delay_s += self.rng.uniform(*weather.resend_s)
+        link = (sender, receiver)
+        at = max(self.now + delay_s, self._link_free_at.get(link, 0.0))
+        self._link_free_at[link] = at
+        return at
 
     def _deliver(self, source: str, sender: str, receiver: str, message: Message) -> None:
         for machine in self.machines:
--- /dev/null
+++ b/tests/replication/test_double_losses.py
@@ -0,0 +1,180 @@
+"""Five stores of which two may be lost: losses by two, and the next two at any moment of what follows them.
+
+Each row does something to two stores that serve; after some steps in an order that is drawn two disks are
+lost, as far as that is tolerated (`World.may_wipe`), and all others lose power. Nothing acknowledged may be
+lost, and a primary has to serve once all are back.
+"""
+
+from __future__ import annotations
+
+import copy
+import functools
+from collections.abc import Callable
+
+import pytest
+
+from tests.replication.test_founding import cut_off
+from tests.replication.world import Machine, World
+
+MOMENTS = range(0, 420, 30)  # steps after the first losses; a repair takes some 200
+SEEDS = 3
+
+
+class Five(World):
+    """Five stores that serve, with writes acknowledged; `order`: the primary, other replicas, the rest."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, machines=2)
+        self.trouble = 0.0
+        primary = self.heal()
+        replicas = primary.epoch.replicas
+
+        def rank(machine: Machine) -> tuple[bool, bool]:
+            return machine.node is not primary, machine.node.me.id not in replicas
+
+        self.order = sorted(self.machines, key=rank)
+        self.go(200)
+
+    def go(self, steps: int) -> None:
+        for _ in range(steps):
+            self.step()
+
+    def lose(self, machine: Machine) -> None:
+        """The disk is lost, if that is tolerated; else the power alone."""
+        if self.may_wipe(machine):
+            self.wipe(machine)
+        else:
+            self.stop(machine)
+
+    def replace(self, machine: Machine) -> None:
+        """Another one comes in the place of one that is gone for good, if that loss is tolerated."""
+        if self.may_wipe(machine):
+            self.machines.remove(machine)
+            machine.node = None
+            self._add()
+
+    def replace_as_planned(self, machine: Machine) -> None:
+        self._add()
+        machine.node.leave(machine.now)
+        machine.leaving_since, machine.gone_for_good = machine.now, True
+        self.pump(machine)
+
+
+def kill(*places: int) -> Callable[[Five], None]:
+    def act(world: Five) -> None:
+        for place in places:
+            world.stop(world.order[place])
+
+    return act
+
+
+def wipe(*places: int) -> Callable[[Five], None]:
+    def act(world: Five) -> None:
+        for place in places:
+            world.lose(world.order[place])
+            world.start(world.order[place])
+
+    return act
+
+
+def replace(*places: int) -> Callable[[Five], None]:
+    return lambda world: [world.replace(world.order[place]) for place in places] and None
+
+
+def plan(*places: int) -> Callable[[Five], None]:
+    return lambda world: [world.replace_as_planned(world.order[place]) for place in places] and None
+
+
+def one_of_each(world: Five) -> None:
+    world.replace_as_planned(world.order[1])
+    world.replace(world.order[2])
+
+
+def cut(*places: int) -> Callable[[Five], None]:
+    return lambda world: [cut_off(world, world.order[place]) for place in places] and None
+
+
+def come_back_to_no_place(world: Five) -> None:
+    for place in (1, 2):
+        world.stop(world.order[place])
+    for machine in world.machines:
+        machine.now += 3.0  # the silence has lasted: their places are given away
+    world._add()
+    world._add()
+    world.go(150)
+    for place in (1, 2):
+        world.start(world.order[place])
+
+
+def roll_by_two(world: Five) -> None:
+    for place in (0, 1):
+        machine = world.order[place]
+        machine.node.leave(machine.now)
+        machine.leaving_since = machine.now
+        world.pump(machine)
+    world.go(60)
+    for machine in world.machines:
+        if machine.node is None:
+            world.start(machine)
+
+
+def three_gone(world: Five) -> None:
+    kill(0, 1, 2)(world)
+    for place in (0, 1, 2):
+        world.go(40)
+        world.start(world.order[place])
+
+
+ROWS: dict[str, Callable[[Five], None]] = {
+    "the primary and a backup killed": kill(0, 1),
+    "both backups killed": kill(1, 2),
+    "the primary and a backup wiped": wipe(0, 1),
+    "both backups wiped": wipe(1, 2),
+    "two that are no replicas wiped": wipe(3, 4),
+    "the primary and another cut off": cut(0, 3),
+    "the primary and a backup gone, others elsewhere": replace(0, 1),
+    "two that are no replicas gone, others elsewhere": replace(3, 4),
+    "two replaced as planned": plan(0, 1),
+    "one replaced as planned, one gone": one_of_each,
+    "two come back to places given away": come_back_to_no_place,
+    "rolled by two": roll_by_two,
+    "three gone and back one by one": three_gone,
+}
+
+
+@functools.cache
+def serving(seed: int) -> Five:
+    return Five(seed)
+
+
+@pytest.mark.parametrize("name", ROWS)
+def test_the_next_two_losses_at_any_moment_lose_nothing(name):
+    acknowledged = 0
+    for seed in range(SEEDS):
+        for moment in MOMENTS:
+            world = copy.deepcopy(serving(seed))
+            ROWS[name](world)
+            world.go(moment)
+            for machine in world.rng.sample(world.machines, 2):
+                world.lose(machine)
+            for machine in world.machines:
+                world.stop(machine)
+            primary = world.heal()
+            writes = [write for write in world.writes if write.acknowledged]
+            world.expect(primary, writes, f"after {name}, {moment} steps, seed {seed}, the primary lacks")
+            acknowledged += len(writes)
+    assert acknowledged > SEEDS * len(MOMENTS)
+
+
+def test_the_losses_are_met_while_the_first_are_repaired():
+    """Some of the moments lie before the next epoch, some behind it, and disks are lost at many."""
+    before = behind = lost = 0
+    for moment in MOMENTS:
+        world = copy.deepcopy(serving(0))
+        epoch = world.newest()
+        kill(1, 2)(world)
+        world.go(moment)
+        is_behind = world.newest().ballot > epoch.ballot
+        before, behind = before + (not is_behind), behind + is_behind
+        lost += sum(world.may_wipe(machine) for machine in world.machines)
+    assert before and behind and lost
