Hold what a store tells of itself to tests

Need: twenty seconds of a core that never formed left 26 lines on its log, none of them of founding, epochs or who is waited for; the events that came with the mend had no tests of their own.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -167,6 +167,22 @@
         "tests/routing/test_long_configurations.py",
         "        self._unread = self._reading = None  # what is read is older\n",
     ),
+    "a wait is told at growing pauses": _removal(
+        "replication/events.py",
+        "tests/replication/test_events.py",
+        "        self._pause_s = min(PAUSE_MOST_S, 2 * self._pause_s)\n",
+    ),
+    "events that nobody takes are bounded": _removal(
+        "replication/events.py",
+        "tests/replication/test_events.py",
+        "        del self._waiting[:-EVENTS_MOST]\n",
+    ),
+    "a late write is told of once": _removal(
+        "replication/leadership.py",
+        "tests/replication/test_events.py",
+        "        return told != self.append_since\n",
+        "        return True\n",
+    ),
     "calls are remembered": _removal(
         "replication/state.py", ORDER_TESTS, "TAKEN_MOST = 2048", "TAKEN_MOST = 4"
     ),
