--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -11,10 +11,9 @@
 from fordtrestle.replication.messages import Accepted, Announce, Heartbeat, Promised, Record
 from fordtrestle.replication.opening import Opening
 from fordtrestle.replication.state import ControlState
-from tests.replication.world import Machine, World
+from tests.replication.world import TICK_S, Machine, World
 
 STEPS = range(0, 240, 6)  # of the founding, at which something is lost; it takes some 150
-TICK_S = 0.05
 
 
 class Birth(World):
@@ -30,20 +29,9 @@
             self.step()
 
     def run(self, seconds: float) -> None:
-        """Let the machines that are up run, with all that they say delivered at once."""
+        """Let the machines that are up run."""
         for _ in range(int(seconds / TICK_S)):
-            up = [machine for machine in self.machines if machine.node]
-            for machine in up:
-                self.tick(machine, TICK_S)
-                self.announce(machine)
-            for _ in range(6):
-                for machine in up:
-                    while machine.queue:
-                        self.sync(machine)
-                pending, self.pending = self.pending, []
-                for envelope in pending:
-                    self.deliver(envelope)
-            self.check()
+            self.round()
 
     def empty(self, *machines: Machine) -> None:
         """These have lost their disks, or were never given the time to write to them."""
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -21,6 +21,8 @@
 SEEDS = 3  # that settings name, however many stores there are
 SPARES_MOST = 2  # machines beyond those that are wanted
 GRACE_S = 6.0  # for which a store that leaves may stay
+TICK_S = 0.05
+EXCHANGES = 6  # of messages and syncs in a tick of an undisturbed deployment
 DISTURBANCES = (
     *("drop", "double", "hurry", "crash", "crash_all", "wipe", "cut", "split", "hold", "rewrite"),
     *("leave", "add", "replace", "unlink"),
@@ -416,6 +418,21 @@
             if write.zone not in held:
                 raise Breach(f"{what} {write.zone}")
 
+    def round(self) -> None:
+        """A tick of all machines that are up, with all that they say delivered at once."""
+        up = [machine for machine in self.machines if machine.node]
+        for machine in up:
+            self.tick(machine, TICK_S)
+            self.announce(machine)
+        for _ in range(EXCHANGES):
+            for machine in up:
+                while machine.queue:
+                    self.sync(machine)
+            pending, self.pending = self.pending, []
+            for envelope in pending:
+                self.deliver(envelope)
+        self.check()
+
     def heal(self, seconds: float = 30.0) -> Node:
         """Let all machines run undisturbed; the primary that comes of it."""
         self.cut.clear()
@@ -427,19 +444,8 @@
         start = max(machine.now for machine in self.machines)
         for machine in self.machines:
             machine.now = start
-        rounds = int(seconds / 0.05)
-        for _ in range(rounds):
-            for machine in self.machines:
-                self.tick(machine, 0.05)
-                self.announce(machine)
-            for _ in range(6):
-                for machine in self.machines:
-                    while machine.queue:
-                        self.sync(machine)
-                pending, self.pending = self.pending, []
-                for envelope in pending:
-                    self.deliver(envelope)
-            self.check()
+        for _ in range(int(seconds / TICK_S)):
+            self.round()
             ready = [m.node for m in self.machines if m.node.is_ready and self._is_newest(m.node)]
             if ready and all(
                 m.node.durable.accepted and m.node.durable.accepted.ballot == ready[0].epoch.ballot
