--- a/benchmarks/control_double_losses.py
+++ b/benchmarks/control_double_losses.py
@@ -237,7 +237,7 @@
     parser.add_argument("--seeds", type=int, default=20)
     given = parser.parse_args(words)
     heads = "  ".join(f"{1000 * delay:5.0f} ms" for delay in DELAYS_S)
-    print(f"{'median, s, by delay one way':58} written:  {heads}   whole:  {heads}")
+    print(f"{'median, s, by delay one way':62} written:  {heads}   whole:  {heads}")
     is_borne = True
     for row in ROWS:
         written, whole = [], []
@@ -247,7 +247,7 @@
             whole.append(statistics.median(two for _, two in both))
             is_borne &= all(one < LASTS_S / 2 and two != float("inf") for one, two in both)
         first, second = ("  ".join(f"{value:8.2f}" for value in part) for part in (written, whole))
-        print(f"{row.name:58}           {first}           {second}", flush=True)
+        print(f"{row.name:62}           {first}           {second}", flush=True)
     return int(not is_borne)
 
 
