--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -24,9 +24,9 @@
     REVERT = "a roll back to this version"
 
 
-ROLLS = frozenset({Action.ROLL, Action.UPDATE, Action.REVERT})
-PLANNED = ROLLS | {Action.HUP, Action.CHANGE, Action.EVACUATE}
-OF_MACHINES = ROLLS | {Action.HUP, Action.KILL, Action.FREEZE}
+UPDATES = frozenset({Action.UPDATE, Action.REVERT})  # planned too, but drawn by `draw_update` alone
+PLANNED = frozenset({Action.ROLL, Action.HUP, Action.CHANGE, Action.EVACUATE})
+OF_MACHINES = UPDATES | {Action.ROLL, Action.HUP, Action.KILL, Action.FREEZE}
 UPDATE_GAP_S = 1.5  # between two machines that are updated
 
 
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -13,7 +13,7 @@
 from rig.system.soak.clients import KINDS
 from rig.system.soak.play import Play
 from rig.system.soak.record import Asked, Life, Named, Read, Record
-from rig.system.soak.schedule import PLANNED, Action
+from rig.system.soak.schedule import PLANNED, UPDATES, Action, draw_update
 
 CHAT, NOTE, ORDER, LONG = KINDS
 SECONDS = 20.0
@@ -122,3 +122,19 @@
     seen = asyncio.run(Play(schedule, tmp_path, sidecars=2, clients=4).run())
     findings = check(seen)
     assert not findings, told(schedule, seen, findings)
+
+
+@pytest.mark.parametrize("versions", [True, False])
+def test_an_update_replaces_each_machine_and_goes_back_with_a_kill_on_each_way(versions):
+    sidecars, controls = ["sidecar-west", "sidecar-east"], ["control-west", "control-east"]
+    schedule = draw_update(3, sidecars, controls, versions)
+    rolls = [step for step in schedule.steps if step.action in UPDATES | {Action.ROLL}]
+    there, back = rolls[:4], rolls[4:]
+    for way, action in ((there, Action.UPDATE), (back, Action.REVERT)):
+        assert {step.target for step in way} == {*sidecars, *controls}
+        assert {step.action for step in way} == {action if versions else Action.ROLL}
+    kills = [step.at for step in schedule.steps if step.action is Action.KILL]
+    assert there[0].at < kills[0] < back[0].at < kills[1] < schedule.lasts_s
+    assert any(step.action is Action.CHANGE for step in schedule.steps)
+    other = draw_update(3, sidecars, controls, not versions)
+    assert [step.at for step in other.steps] == [step.at for step in schedule.steps], "the same times"
