--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -56,6 +56,89 @@
         }
 
 
+# the pieces, first: guards stop at their first failing test
+
+
+ME, B, C, D, E = (Store(name, f"10.0.0.{n}:1", f"10.0.0.{n}:2", f"z-{n}") for n, name in enumerate("abcde"))
+SEEDS = [store.control for store in (ME, B, C)]
+
+
+def said(*stores: Store, **told) -> list[Announce]:
+    return [Announce(store, True, False, **{"core": "", **told}) for store in stores]
+
+
+def test_a_whole_core_that_nobody_was_told_to_found_waits_for_each_seed_and_for_founders():
+    def begins(heard, seeds=SEEDS):
+        founding = Founding(ME, 1, True, 0.0)
+        tries = [founding.plan(False, heard, seeds, at) for at in (0.0, UNTOLD_S)]
+        assert tries[0] is None
+        return tries[1]
+
+    assert not begins(said(B, D)), "a seed is missing: it may know more"
+    assert not begins([*said(B), *said(C, founder=True)])
+    assert not begins([*said(B), *said(C, core="a")])
+    assert not begins([*said(B, C), *said(D, core="a")])
+    assert not begins(said(B), [ME.control]), "two of three"
+    told = begins(said(B, C))
+    assert told.unanimous == {"a", "b", "c"} and set(told.witnesses) == {ME, B, C}
+    assert Founding(B, 1, True, 0.0).plan(False, said(ME, C), SEEDS, 99.0) is None, "another goes first"
+
+
+def unanimous() -> Opening:
+    ids = frozenset("abc")
+    return Opening(ME, Ballot(5, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0, unanimous=ids)
+
+
+def promise(accepted: Epoch | None) -> Promised:
+    return Promised(Ballot(5, "a"), accepted, Ballot(0, ""), 0)
+
+
+def epoch(*witnesses: Store) -> Epoch:
+    return Epoch(Ballot(2, "b"), "b", ("b",), witnesses, core="b")
+
+
+def test_a_core_that_nobody_was_told_to_found_needs_the_promise_of_all():
+    opening = unanimous()
+    for store_id in ("a", "b"):
+        assert not opening.receive(store_id, promise(None), ControlState())
+    assert not opening.repeat(ControlState())[1:], "C is asked again, and nobody to accept"
+    assert opening.receive("c", promise(None), ControlState())
+    assert opening.proposed and not opening.newer
+
+
+def test_a_core_is_not_founded_over_an_epoch_that_one_of_all_knows():
+    opening = unanimous()
+    for store_id in ("a", "b"):
+        opening.receive(store_id, promise(None), ControlState())
+    assert not opening.receive("c", promise(epoch(B, C)), ControlState())
+    assert opening.newer == epoch(B, C) and not opening.proposed
+
+
+def test_who_founds_votes_first():
+    opening = Opening(ME, Ballot(1, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0)
+    asked = []
+    for store_id in ("a", "b", "c"):
+        promised = Promised(Ballot(1, "a"), None, Ballot(0, ""), 0)
+        asked += opening.receive(store_id, promised, ControlState())
+    assert [receiver for receiver, _ in asked] == ["a"]
+    assert [receiver for receiver, _ in opening.repeat(ControlState())] == ["a"]
+    asked = opening.receive("a", Accepted(opening.ballot), ControlState())
+    assert [receiver for receiver, _ in asked] == ["b", "c"]
+
+
+def test_the_wish_to_found_outlives_power_and_ends_with_the_first_vote():
+    durable = Durable("a", told_to_found=True)
+    records: list[Record] = list(durable.snapshot())
+    for length in range(1, len(records) + 1):
+        assert Durable.restore(records[:length]).is_founder, "whichever first records reached the disk"
+    records += durable.accept(epoch(ME, B, C))
+    assert not Durable.restore(records).is_founder
+    assert not Durable.restore(durable.snapshot()).told_to_found
+
+
+# whole cores
+
+
 @pytest.mark.parametrize("machines", [0, 1, 2, 3])
 def test_the_store_that_is_told_to_opens_the_first_epoch_with_all(machines):
     world = Birth(1, machines)
@@ -191,83 +274,3 @@
 def _newer(machine: Machine) -> Epoch:
     """An epoch of that machine's core, newer than any."""
     return Epoch(Ballot(99, "z"), "z", ("z",), (machine.node.me,), core=machine.node.me.id)
-
-
-# the pieces
-
-
-ME, B, C, D, E = (Store(name, f"10.0.0.{n}:1", f"10.0.0.{n}:2", f"z-{n}") for n, name in enumerate("abcde"))
-SEEDS = [store.control for store in (ME, B, C)]
-
-
-def said(*stores: Store, **told) -> list[Announce]:
-    return [Announce(store, True, False, **{"core": "", **told}) for store in stores]
-
-
-def test_a_whole_core_that_nobody_was_told_to_found_waits_for_each_seed_and_for_founders():
-    def begins(heard, seeds=SEEDS):
-        founding = Founding(ME, 1, True, 0.0)
-        tries = [founding.plan(False, heard, seeds, at) for at in (0.0, UNTOLD_S)]
-        assert tries[0] is None
-        return tries[1]
-
-    assert not begins(said(B, D)), "a seed is missing: it may know more"
-    assert not begins([*said(B), *said(C, founder=True)])
-    assert not begins([*said(B), *said(C, core="a")])
-    assert not begins([*said(B, C), *said(D, core="a")])
-    assert not begins(said(B), [ME.control]), "two of three"
-    told = begins(said(B, C))
-    assert told.unanimous == {"a", "b", "c"} and set(told.witnesses) == {ME, B, C}
-    assert Founding(B, 1, True, 0.0).plan(False, said(ME, C), SEEDS, 99.0) is None, "another goes first"
-
-
-def unanimous() -> Opening:
-    ids = frozenset("abc")
-    return Opening(ME, Ballot(5, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0, unanimous=ids)
-
-
-def promise(accepted: Epoch | None) -> Promised:
-    return Promised(Ballot(5, "a"), accepted, Ballot(0, ""), 0)
-
-
-def epoch(*witnesses: Store) -> Epoch:
-    return Epoch(Ballot(2, "b"), "b", ("b",), witnesses, core="b")
-
-
-def test_a_core_that_nobody_was_told_to_found_needs_the_promise_of_all():
-    opening = unanimous()
-    for store_id in ("a", "b"):
-        assert not opening.receive(store_id, promise(None), ControlState())
-    assert not opening.repeat(ControlState())[1:], "C is asked again, and nobody to accept"
-    assert opening.receive("c", promise(None), ControlState())
-    assert opening.proposed and not opening.newer
-
-
-def test_a_core_is_not_founded_over_an_epoch_that_one_of_all_knows():
-    opening = unanimous()
-    for store_id in ("a", "b"):
-        opening.receive(store_id, promise(None), ControlState())
-    assert not opening.receive("c", promise(epoch(B, C)), ControlState())
-    assert opening.newer == epoch(B, C) and not opening.proposed
-
-
-def test_who_founds_votes_first():
-    opening = Opening(ME, Ballot(1, "a"), no_epoch(ME), (ME, B, C), 2, frozenset(), 0.0)
-    asked = []
-    for store_id in ("a", "b", "c"):
-        promised = Promised(Ballot(1, "a"), None, Ballot(0, ""), 0)
-        asked += opening.receive(store_id, promised, ControlState())
-    assert [receiver for receiver, _ in asked] == ["a"]
-    assert [receiver for receiver, _ in opening.repeat(ControlState())] == ["a"]
-    asked = opening.receive("a", Accepted(opening.ballot), ControlState())
-    assert [receiver for receiver, _ in asked] == ["b", "c"]
-
-
-def test_the_wish_to_found_outlives_power_and_ends_with_the_first_vote():
-    durable = Durable("a", told_to_found=True)
-    records: list[Record] = list(durable.snapshot())
-    for length in range(1, len(records) + 1):
-        assert Durable.restore(records[:length]).is_founder, "whichever first records reached the disk"
-    records += durable.accept(epoch(ME, B, C))
-    assert not Durable.restore(records).is_founder
-    assert not Durable.restore(durable.snapshot()).told_to_found
