Outlier detection: servers that fail their requests are left out, by own and by others' evidence

Cause: a server that answers failures, breaks answers off or lets requests hang while its heartbeats and health are good was used on: 500s counted as answers, time-outs and answers that broke off as nothing. With many sidecars each meets a server too seldom to learn it alone. Change: outcomes by server and service, decaying; one that fails far more than the others of its service is ejected for 2 s, twice as long each time that follows soon, at most a third of a region's servers. Sidecars report outcomes to one control process a service, which ejects a server for all once two zones saw it fail, one of its own region. A safe request that a server failed or broke off goes to another server within its attempts.

--- a/fordtrestle/dissemination/catalog.py
+++ b/fordtrestle/dissemination/catalog.py
@@ -16,6 +16,7 @@
     SERVER_PREFIX,
     Availability,
     ControlView,
+    EjectionRecord,
     Item,
     MemberRecord,
     Phase,
@@ -29,6 +30,7 @@
 ITEMS_MOST = 20_000
 TOMBSTONE_S = 120.0
 UNHEARD_S = 600.0  # for servers that have fallen silent, or drain and never say that they are gone
+EJECTION_KEPT_S = 600.0  # so that the next one of that server is known to be newer
 
 
 def range_of(key: str) -> int:
@@ -54,6 +56,8 @@
     if is_tombstone(item):
         return TOMBSTONE_S
     value = item.value
+    if isinstance(value, EjectionRecord):
+        return EJECTION_KEPT_S
     if isinstance(value, ServerRecord) and (value.silent or value.phase is Phase.DRAINING):
         return UNHEARD_S
     return None
--- a/fordtrestle/dissemination/items.py
+++ b/fordtrestle/dissemination/items.py
@@ -12,6 +12,7 @@
 CONTROL_KEY = "control"
 SERVER_PREFIX = "server/"
 MEMBER_PREFIX = "member/"
+EJECTION_PREFIX = "ejection/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +73,15 @@
     availability: Availability
 
 
-Value = ControlView | ServerRecord | MemberRecord
+@dataclass(frozen=True, slots=True)
+class EjectionRecord:
+    """A server whose requests fail is to be left out for some s, from when that is heard."""
+
+    instance: str
+    lasts_s: float
+
+
+Value = ControlView | ServerRecord | MemberRecord | EjectionRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +105,11 @@
     return Item(SERVER_PREFIX + record.instance, version, record)
 
 
+def ejection_item(record: EjectionRecord, known: Version | None) -> Item:
+    """The item of an ejection, newer than the last one that is known of that server."""
+    return Item(EJECTION_PREFIX + record.instance, (known[0] + 1 if known else 1,), record)
+
+
 def member_item(record: MemberRecord, incarnation: int, counter: int) -> Item:
     """The item of a member. Being down is said at the counter that was known, and refuted by the next."""
     down = int(record.availability is Availability.DOWN)
--- a/fordtrestle/dissemination/messages.py
+++ b/fordtrestle/dissemination/messages.py
@@ -78,4 +78,21 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """How requests to a server ended since the sender's last report."""
+
+    instance: str
+    good: int
+    bad: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeReport:
+    """A sidecar's report on the servers of a service, to the control process that is to judge them."""
+
+    service: str
+    outcomes: tuple[Outcomes, ...]
+
+
 GossipMessage = Update | ControlDelta | RangeDigests | RangeVersions | Want | Offer | Prune
--- a/fordtrestle/dissemination/suspicion.py
+++ b/fordtrestle/dissemination/suspicion.py
@@ -30,8 +30,18 @@
 
 def heir_of(node: str, members: Iterable[MemberRecord], role: str) -> str | None:
     """Who takes over what was a member's, where that is down or forgotten; the same everywhere."""
-    live = {m.node for m in members if m.role == role and m.availability is not Availability.DOWN}
-    return None if node in live else max(live, key=lambda other: weight(node, other), default=None)
+    live = live_nodes(members, role)
+    return None if node in live else owner_of(node, live)
+
+
+def live_nodes(members: Iterable[MemberRecord], role: str) -> set[str]:
+    """The members of a role that nobody has told to be down."""
+    return {m.node for m in members if m.role == role and m.availability is not Availability.DOWN}
+
+
+def owner_of(key: str, nodes: Iterable[str]) -> str | None:
+    """Which of the nodes is responsible for a key; the same everywhere, nothing where there is none."""
+    return max(nodes, key=lambda node: weight(key, node), default=None)
 
 
 @dataclass(slots=True)
--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+import eliot
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -15,9 +16,10 @@
 from fordtrestle.forward.client import Forwarder, Outbound
 from fordtrestle.forward.headers import DEADLINE, LAST_EVENT_ID, PRIORITY, for_server
 from fordtrestle.ingress import answers
-from fordtrestle.ingress.relay import OK, End, StreamRelay, is_short, relay_whole
+from fordtrestle.ingress.relay import OK, End, StreamRelay, give_back, is_short, relay_whole
 from fordtrestle.ingress.waiting import Waiting
 from fordtrestle.routing.decision import Attempts, Decider, NoRoute, Refuse, Send, Wait, Wanted
+from fordtrestle.routing.outliers import FAILURE_STATUSES
 from fordtrestle.routing.pick import Prompt
 from fordtrestle.routing.servers import Server
 from fordtrestle.routing.table import Route
@@ -106,8 +108,11 @@
         route, attempts, request_id = send.route, self._attempts, self._inbound.request_id
         match outcome:
             case client.Answered(response):
+                if response.status in FAILURE_STATUSES and (again := self._again(route)):
+                    give_back(response)
+                    return await self._send(again)
                 if is_short(response, route):
-                    return await relay_whole(response, request_id, send.deadline)
+                    return await self._whole(send, response)
                 return await self._stream(route, response, send.deadline)
             case client.Rejected():
                 if attempts.may_go_on(route):
@@ -124,6 +129,31 @@
             case client.Overdue():
                 return answers.overdue(request_id)
 
+    def _again(self, route: Route) -> Send | None:
+        """Where a request goes that a server ran and failed, if it may be run once more."""
+        if not self._attempts.may_run_again(route):
+            return None
+        now = asyncio.get_running_loop().time()
+        decision = self._shared.decider.next(self._wanted, self._attempts, now)
+        return decision if isinstance(decision, Send) else None
+
+    async def _whole(self, send: Send, response: aiohttp.ClientResponse) -> web.StreamResponse | None:
+        """A short answer, read whole; nothing where it broke off and another server may be asked."""
+        attempts, request_id = self._attempts, self._inbound.request_id
+        whole = await relay_whole(response, send.deadline)
+        if isinstance(whole, web.Response):
+            return whole
+        if whole is End.OVERDUE:
+            return answers.overdue(request_id)
+        self._ended(send.server, failed=True)
+        attempts.may_have_run = True
+        return None if attempts.may_run_again(send.route) else answers.broken(request_id)
+
+    def _ended(self, server: Server, failed: bool) -> None:
+        """A request ended at a server, well or not."""
+        if self._shared.decider.ended(server, failed, asyncio.get_running_loop().time()):
+            eliot.log_message("servers:ejected", instance=server.instance)
+
     async def _ask(self, send: Send, last_event_id: str = "") -> client.Outcome:
         """Send to one server, and note what the outcome proves of it and of the service."""
         inbound, server = self._inbound, send.server
@@ -152,8 +182,11 @@
         if not isinstance(outcome, client.Unreachable | client.Unsent):
             attempts.sent(server.instance, rejected=isinstance(outcome, client.Rejected))
         match outcome:
-            case client.Answered():
+            case client.Answered(response):
                 server.answered()
+                failed = response.status in FAILURE_STATUSES
+                attempts.may_have_run |= failed
+                self._ended(server, failed)
                 decider.admission.accepted(callee, now)
                 target_s = send.route.target_s
                 decider.selection.answered(callee, server, self._inbound.prompt, took_s, target_s, now)
@@ -168,8 +201,10 @@
                 attempts.unreachable += 1
             case client.Broken():
                 server.failed(now)
+                self._ended(server, failed=True)
                 attempts.may_have_run = True
             case client.Overdue():
+                self._ended(server, failed=True)
                 attempts.may_have_run = True
 
     async def _stream(
@@ -193,6 +228,8 @@
             if end is End.COMPLETE:
                 return await relay.finish()
             following = None
+            if end is End.BROKEN:
+                self._ended(self._held[-1], failed=True)
             if end is End.BROKEN and relay.can_resume:
                 following = await self._resume(relay.last_event_id, deadline)
             if following is None:
--- a/fordtrestle/ingress/relay.py
+++ b/fordtrestle/ingress/relay.py
@@ -13,7 +13,6 @@
 from fordtrestle.forward.client import has_whole_length
 from fordtrestle.forward.events import EventSplitter, EventTooLarge
 from fordtrestle.forward.headers import end_to_end
-from fordtrestle.ingress import answers
 from fordtrestle.routing.table import Route, RouteType
 
 WHOLE_MOST = 1024 * 1024  # bytes of an answer that is read whole before it is passed on
@@ -35,17 +34,24 @@
         response.close()
 
 
-async def relay_whole(
-    response: aiohttp.ClientResponse, request_id: str, deadline: float
-) -> web.StreamResponse:
-    """The server's answer, or another one where it is not whole by `deadline` (s, loop clock)."""
+class End(Enum):
+    """How a server's part of a stream ended."""
+
+    COMPLETE = auto()
+    BROKEN = auto()  # the server's connection ended or what came was no answer
+    OVERDUE = auto()
+    GONE = auto()  # the client's connection has ended
+
+
+async def relay_whole(response: aiohttp.ClientResponse, deadline: float) -> web.Response | End:
+    """The server's answer, or how it ended where it is not whole by `deadline` (s, loop clock)."""
     try:
         async with asyncio.timeout_at(deadline):
             body = await response.read()
     except TimeoutError:
-        return answers.overdue(request_id)
+        return End.OVERDUE
     except _BROKEN:
-        return answers.broken(request_id)
+        return End.BROKEN
     finally:
         give_back(response)
     headers = end_to_end(response.headers, response.headers.items())
@@ -53,15 +59,6 @@
     return web.Response(status=response.status, body=body, headers=headers)
 
 
-class End(Enum):
-    """How a server's part of a stream ended."""
-
-    COMPLETE = auto()
-    BROKEN = auto()  # the server's connection ended or what came was no answer
-    OVERDUE = auto()
-    GONE = auto()  # the client's connection has ended
-
-
 class StreamRelay:
     """One answer to a client, fed by one server or, where it may be resumed, by several in turn."""
 
--- a/fordtrestle/peer/codec.py
+++ b/fordtrestle/peer/codec.py
@@ -103,6 +103,9 @@
     delta.Copy,
     delta.ControlDelta,
     replication.Founder,
+    items.EjectionRecord,
+    messages.Outcomes,
+    messages.OutcomeReport,
 )
 _TAGS = {kind: _FIRST_TAG + index for index, kind in enumerate(_TYPES) if kind is not Retired}
 _BY_TAG = {tag: kind for kind, tag in _TAGS.items()}
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -11,9 +11,10 @@
 from fordtrestle.control_api.heartbeats import Heartbeats
 from fordtrestle.control_api.http import ControlApi
 from fordtrestle.control_api.orders import Orders
+from fordtrestle.control_api.outliers import Outliers
 from fordtrestle.control_api.withdrawals import Withdrawals
 from fordtrestle.dissemination.items import Availability, ControlView, control_item
-from fordtrestle.dissemination.messages import Confirm, Confirmed
+from fordtrestle.dissemination.messages import Confirm, Confirmed, OutcomeReport
 from fordtrestle.dissemination.suspicion import heir_of
 from fordtrestle.ingress.directory import Directory
 from fordtrestle.peer.codec import CodecError, Envelope, decode, encode
@@ -91,6 +92,7 @@
         self.withdrawals = Withdrawals(
             me, self.process.mesh, self.process.gossip, lambda: self.node.newest_epoch
         )
+        self.outliers = Outliers(self.process.gossip, dict(boot.zones))
         self.process.on_message = self._received
 
     def _received(self, link: Link, message: Any) -> None:
@@ -99,6 +101,8 @@
                 self.withdrawals.asked(link, message)
             case Confirmed():
                 self.withdrawals.answered(link, message)
+            case OutcomeReport():
+                self.outliers.received(link.node, message, asyncio.get_running_loop().time())
             case Envelope() | Announce():
                 self.replicator.received(message)
 
@@ -156,6 +160,7 @@
         while True:
             await asyncio.sleep(SILENCE_CHECK_S)
             now = asyncio.get_running_loop().time()
+            self.outliers.forget(now)
             items = self.heartbeats.fallen_silent(self.process.gossip.catalog, now, self._inherits)
             if items:
                 eliot.log_message("control:servers-silent", keys=[item.key for item in items])
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -19,7 +19,7 @@
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import MEMBER_PREFIX, Availability, Item, MemberRecord, member_item
 from fordtrestle.dissemination.messages import GossipMessage, HasLink, Vouch
-from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, watched_by
+from fordtrestle.dissemination.suspicion import ASKED_MOST, Suspicion, live_nodes, owner_of, watched_by
 from fordtrestle.peer.codec import PROTOCOL, PROTOCOL_OLDEST, Hello
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.peer.mesh import Link, Mesh
@@ -163,6 +163,12 @@
                 down = replace(item.value, availability=Availability.DOWN)
                 self.gossip.publish([member_item(down, item.version[0], item.version[1])])
 
+    def owner_link(self, key: str) -> Link | None:
+        """A link to the control process that is responsible for a key; nothing while there is none."""
+        members = [member for member, _ in self.gossip.catalog.members()]
+        owner = owner_of(key, live_nodes(members, CONTROL_ROLE))
+        return self.mesh.link(owner) if owner else None
+
     def in_touch(self) -> set[str]:
         """The nodes that a link is up to."""
         return {link.node for link in self.mesh.links()}
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -29,6 +29,7 @@
 )
 from fordtrestle.roles.process import main as run_role
 from fordtrestle.routing.decision import Decider
+from fordtrestle.routing.evidence import REPORT_S, Reporter
 from fordtrestle.routing.selection import Selection
 from fordtrestle.routing.view import View
 from fordtrestle.settings.boot import Boot
@@ -89,6 +90,7 @@
             tasks.create_task(process.keep_dialling()),
             tasks.create_task(process.gossip.run(process.rng)),
             tasks.create_task(_forget(view, cold)),
+            tasks.create_task(report_failures(process, decider.reporter)),
         ]
         await process.stopping.wait()
         ending = process.begin_to_end()
@@ -120,6 +122,16 @@
         cold.forget(view.servers.instances())
 
 
+async def report_failures(process: Process, reporter: Reporter) -> None:
+    """Tell the owners of services of the requests that failed there, until cancelled."""
+    while True:
+        await asyncio.sleep(REPORT_S)
+        for report in reporter.take():
+            link = process.owner_link(report.service)
+            if link:
+                link.send(report)
+
+
 def main(early: EarlyListener | None = None) -> int:
     """Run as a process of its own; the exit code."""
     return run_role(partial(run, early=early))
--- a/fordtrestle/routing/decision.py
+++ b/fordtrestle/routing/decision.py
@@ -11,6 +11,7 @@
 
 from fordtrestle.admission.budgets import RetryBudget
 from fordtrestle.admission.window import Admission
+from fordtrestle.routing.evidence import Reporter
 from fordtrestle.routing.intake import Intake
 from fordtrestle.routing.pick import Prompt
 from fordtrestle.routing.selection import Selection
@@ -118,6 +119,7 @@
     selection: Selection
     draw: Callable[[], float]
     intake: Intake = field(default_factory=Intake)
+    reporter: Reporter = field(default_factory=Reporter)
 
     def next(self, wanted: Wanted, attempts: Attempts, now: float) -> Decision:
         """What is done now."""
@@ -158,6 +160,11 @@
             return None
         return Send(route, callee, server, deadline)
 
+    def ended(self, server: Server, failed: bool, now: float) -> bool:
+        """How a request ended at a server; whether that ejects it here."""
+        self.reporter.note(server.record.service, server.instance, failed)
+        return self.view.servers.note_end(server, failed, now)
+
     def _wait(self, wanted: Wanted, attempts: Attempts, timeout_s: float, refusal: Refuse) -> Wait | Refuse:
         """Before its first send a request may wait for a part of its time."""
         if attempts.sends:
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -4,10 +4,11 @@
 
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fordtrestle.dissemination.catalog import UNHEARD_S
-from fordtrestle.dissemination.items import Phase, ServerRecord, Version
+from fordtrestle.dissemination.items import EjectionRecord, Phase, ServerRecord, Version
+from fordtrestle.routing.outliers import Health, Tally, without_ejected
 
 MS_PER_S = 1000.0
 REST_S = 0.25  # after a connection to a server failed; doubles with each further one
@@ -32,6 +33,7 @@
     failures: int = 0  # connections that did not come up, in a row
     delay: float = 0.0  # mean of how late its answers began, in shares of their objectives, as of `delay_at`
     delay_at: float = 0.0
+    health: Health = field(default_factory=Health)
     misdirected: bool = False  # another incarnation has its address, until a newer word of this one
 
     @property
@@ -83,6 +85,7 @@
         self._regions = zones
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, dict[str, Server]] = {}
+        self._outcomes: dict[str, Tally] = {}  # by service
 
     def take(self, record: ServerRecord, version: Version, now: float) -> None:
         """Follow what the catalog tells of one server."""
@@ -97,6 +100,17 @@
         server.take(record, version, now)
         self._by_service.setdefault(record.service, {})[record.instance] = server
 
+    def note_end(self, server: Server, failed: bool, now: float) -> bool:
+        """How a request ended at a server; whether that ejects it."""
+        service = self._outcomes.setdefault(server.record.service, Tally())
+        return server.health.note(failed, service, now)
+
+    def eject(self, record: EjectionRecord, now: float) -> None:
+        """Leave a server out, as was told."""
+        server = self._servers.get(record.instance)
+        if server:
+            server.health.told_until = now + record.lasts_s
+
     def mark_cold(self, zones: Collection[str], until: float) -> None:
         """Hold the servers of these zones to be cold until then at least."""
         for server in self._servers.values():
@@ -113,6 +127,8 @@
             if gone and server.in_flight == 0:
                 del self._servers[instance]
                 self._by_service[server.record.service].pop(instance, None)
+        for service in [service for service in self._outcomes if not self._by_service.get(service)]:
+            del self._outcomes[service]
 
     def instances(self) -> set[str]:
         """All incarnations that are known."""
@@ -126,13 +142,14 @@
         self, service: str, evacuated: Collection[str], homes: Collection[str], now: float
     ) -> list[Server]:
         """The servers that a request of this service may go to."""
-        return [
+        usable = [
             server
             for server in self.of(service)
             if server.is_usable(now)
             and server.record.zone not in evacuated
             and (not homes or server.region in homes)
         ]
+        return without_ejected(usable, now)
 
 
 def nearest(servers: Iterable[Server], zone: str, region: str) -> tuple[list[Server], list[Server]]:
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -8,7 +8,14 @@
 
 from collections.abc import Generator, Iterable
 
-from fordtrestle.dissemination.items import Availability, ControlView, Item, MemberRecord, ServerRecord
+from fordtrestle.dissemination.items import (
+    Availability,
+    ControlView,
+    EjectionRecord,
+    Item,
+    MemberRecord,
+    ServerRecord,
+)
 from fordtrestle.routing.servers import Servers
 from fordtrestle.routing.table import RouteTable, parse_table, read_table
 
@@ -50,6 +57,8 @@
                     self._follow(control, now)
                 case ServerRecord() as record:
                     self.servers.take(record, item.version, now)
+                case EjectionRecord() as record if self.knows_peers(now):
+                    self.servers.eject(record, now)  # what is told at the start may be long over
                 case MemberRecord(role=role, node=node, availability=availability) if role == SIDECAR_ROLE:
                     self.sidecars.add(node)
                     if availability is Availability.DOWN:
--- /dev/null
+++ b/tests/control_api/test_outliers.py
@@ -0,0 +1,88 @@
+"""A control process judges servers by sidecars' reports and spreads what comes of it."""
+
+from __future__ import annotations
+
+from fordtrestle.control_api.outliers import Outliers
+from fordtrestle.dissemination.catalog import Catalog
+from fordtrestle.dissemination.items import (
+    EJECTION_PREFIX,
+    Availability,
+    EjectionRecord,
+    MemberRecord,
+    Phase,
+    ServerRecord,
+    member_item,
+    server_item,
+)
+from fordtrestle.dissemination.messages import OutcomeReport, Outcomes
+from fordtrestle.routing.outliers import EJECTION_S
+
+REGIONS = {"z-1": "r-1", "z-2": "r-1"}
+
+
+class Spread:
+    """Gossip as far as it is needed here: the catalog, and what was published."""
+
+    def __init__(self):
+        self.catalog = Catalog()
+        self.published = []
+
+    def publish(self, items):
+        self.published += self.catalog.merge(items, 0.0)
+
+
+def member(node, zone):
+    record = MemberRecord(node, "sidecar", zone, "r-1", "10.0.0.1:1", "", Availability.READY)
+    return member_item(record, 1, 1)
+
+
+def server(instance, service="pool"):
+    phase = Phase.SERVING
+    return server_item(
+        ServerRecord(instance, service, "10.0.0.9:1", "z-1", 1, phase, False, 0.0, None, (), "c"), 1
+    )
+
+
+def stage():
+    gossip = Spread()
+    gossip.catalog.merge([member("s-1", "z-1"), member("s-2", "z-2")], 0.0)
+    gossip.catalog.merge([server("bad"), server("good"), server("else", "calm")], 0.0)
+    return Outliers(gossip, REGIONS), gossip
+
+
+def report(bad="bad", service="pool"):
+    return OutcomeReport(service, (Outcomes("good", 6, 0), Outcomes(bad, 0, 2)))
+
+
+def test_what_sidecars_of_two_zones_report_is_spread_once():
+    outliers, gossip = stage()
+    for node in ("s-1", "s-2", "s-1"):
+        outliers.received(node, report(), 1.0)
+    assert [(item.key, item.value) for item in gossip.published] == [
+        (EJECTION_PREFIX + "bad", EjectionRecord("bad", EJECTION_S))
+    ]
+
+
+def test_the_next_ejection_is_news_to_all():
+    outliers, gossip = stage()
+    for now in (1.0, 1.0 + EJECTION_S):
+        for node in ("s-1", "s-2"):
+            outliers.received(node, report(), now)
+    assert [item.value.lasts_s for item in gossip.published] == [EJECTION_S, 2 * EJECTION_S]
+
+
+def test_another_owner_goes_on_from_the_version_that_is_known():
+    outliers, gossip = stage()
+    for heir in (outliers, Outliers(gossip, REGIONS)):
+        for node in ("s-1", "s-2"):
+            heir.received(node, report(), 1.0)
+    assert len(gossip.published) == 2
+
+
+def test_a_reporter_that_is_not_known_and_servers_of_another_service_are_not_counted():
+    outliers, gossip = stage()
+    for node in ("s-1", "stranger"):
+        outliers.received(node, report(), 1.0)
+    for node in ("s-1", "s-2"):
+        outliers.received(node, report(bad="else"), 1.0)
+    assert not gossip.published
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -43,6 +43,8 @@
 NODE, HARD_CASES = "replication/node.py", "tests/replication/test_hard_cases.py"
 FOUNDING, FOUNDING_TESTS = "replication/founding.py", "tests/replication/test_founding.py"
 OPENING = "replication/opening.py"
+OUTLIERS, OUTLIERS_TESTS = "routing/outliers.py", "tests/routing/test_outliers.py"
+EVIDENCE, EVIDENCE_TESTS = "routing/evidence.py", "tests/routing/test_evidence.py"
 
 GUARDS: dict[str, Guard] = {
     "the file is synced before what it holds is read": _removal(
@@ -400,6 +402,45 @@
         "        return route.repeatable and self.runs",
         "        return self.runs",
     ),
+    "an answer that broke off is no success of its server": _removal(
+        "ingress/exchange.py",
+        "tests/ingress/test_grey.py",
+        "        self._ended(send.server, failed=True)\n        attempts.may_have_run = True\n",
+        "        attempts.may_have_run = True\n",
+    ),
+    "a failure that a server answers counts against it": _removal(
+        "ingress/exchange.py",
+        "tests/ingress/test_grey.py",
+        "                failed = response.status in FAILURE_STATUSES\n",
+        "                failed = False\n",
+    ),
+    "what befalls all servers ejects none": _removal(
+        OUTLIERS, OUTLIERS_TESTS, " and share >= TIMES_OTHERS * others_share\n", "\n"
+    ),
+    "one failure ejects no server": _removal(
+        OUTLIERS, OUTLIERS_TESTS, "    if server.bad < FAILURES_LEAST or others", "    if others"
+    ),
+    "the greater part of a region's servers stays in use": _removal(
+        OUTLIERS, OUTLIERS_TESTS, "    return ranked[: int(EJECTED_MOST * of)]\n", "    return ranked\n"
+    ),
+    "own evidence goes before what was told": _removal(
+        OUTLIERS,
+        OUTLIERS_TESTS,
+        "        return now < self.own.until, max(",
+        "        return False, max(",
+    ),
+    "a sidecar that has just started takes up no old ejections": _removal(
+        "routing/view.py", OUTLIERS_TESTS, "as record if self.knows_peers(now):", "as record:"
+    ),
+    "one zone alone ejects no server for all": _removal(
+        EVIDENCE, EVIDENCE_TESTS, " or len(seen_from) < ZONES_LEAST:", ":"
+    ),
+    "other regions alone eject no server for all": _removal(
+        EVIDENCE,
+        EVIDENCE_TESTS,
+        "        if region not in {self._regions.get(zone) for zone in seen_from}:\n"
+        "            return False\n",
+    ),
     "no request is sent to more servers than allowed": _removal(
         "routing/decision.py",
         "tests/ingress",
--- /dev/null
+++ b/tests/roles/test_reports.py
@@ -0,0 +1,93 @@
+"""Sidecars report failed requests to the control process that owns the service, which judges them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from fordtrestle.dissemination.items import Availability, MemberRecord, member_item
+from fordtrestle.dissemination.messages import OutcomeReport, Outcomes
+from fordtrestle.roles.control import Control
+from fordtrestle.roles.process import Process
+from fordtrestle.roles.sidecar import report_failures
+from fordtrestle.routing.evidence import REPORT_S, Reporter
+from fordtrestle.settings.boot import parse
+from tests.settings.test_boot import BOOT
+from tests.virtual import virtual
+
+REPORT = OutcomeReport("pool", (Outcomes("i-1", 0, 1),))
+
+
+class Post:
+    """A link that keeps what is sent on it."""
+
+    def __init__(self, node):
+        self.node = node
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+def process_among(controls, monkeypatch):
+    """A sidecar with a link to each of these control processes; the links by node."""
+    process = Process(parse(json.dumps(BOOT)).unwrap(), "sidecar")
+    posts = {node: Post(node) for node in controls}
+    for number, node in enumerate(controls):
+        record = MemberRecord(node, "control", "z", "r", f"10.0.0.{number}:1", "", Availability.READY)
+        process.gossip.publish([member_item(record, 1, 1)])
+    monkeypatch.setattr(process.mesh, "link", posts.get)
+    return process, posts
+
+
+def lose(process, node):
+    item = process.gossip.catalog.get(f"member/{node}")
+    record = MemberRecord(node, "control", "z", "r", item.value.peer, "", Availability.DOWN)
+    process.gossip.publish([member_item(record, *item.version[:2])])
+
+
+@virtual
+async def test_one_control_process_has_all_reports_of_a_service_and_its_heir_those_after_it(monkeypatch):
+    process, posts = process_among(["c-1", "c-2", "c-3"], monkeypatch)
+    reporter = Reporter()
+    task = asyncio.create_task(report_failures(process, reporter))
+    owners = []
+    for _ in range(2):
+        for _ in range(2):
+            reporter.note("pool", "i-1", failed=True)
+            await asyncio.sleep(1.5 * REPORT_S)
+        owners += [node for node, post in posts.items() if len(post.sent) == 2]
+        lose(process, owners[-1])
+        for post in posts.values():
+            assert post.sent in ([], [REPORT, REPORT])
+            post.sent.clear()
+    task.cancel()
+    assert len(set(owners)) == 2
+
+
+@virtual
+async def test_without_a_link_to_the_owner_or_an_owner_the_report_is_dropped(monkeypatch):
+    process, _ = process_among([], monkeypatch)
+    assert process.owner_link("pool") is None
+    reporter = Reporter()
+    reporter.note("pool", "i-1", failed=True)
+    task = asyncio.create_task(report_failures(process, reporter))
+    await asyncio.sleep(1.5 * REPORT_S)
+    assert not task.done() and reporter.take() == []
+    task.cancel()
+
+
+@virtual
+async def test_a_control_process_hands_reports_to_its_judge():
+    class Judge:
+        def __init__(self):
+            self.taken = []
+
+        def received(self, node, report, now):
+            self.taken.append((node, report))
+
+    control = Control.__new__(Control)
+    control.outliers = Judge()
+    control._received(Post("s-1"), REPORT)
+    assert control.outliers.taken == [("s-1", REPORT)]
--- /dev/null
+++ b/tests/routing/test_outliers.py
@@ -0,0 +1,164 @@
+"""Outlier detection: which servers a sidecar leaves out, for how long, and how many at most."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from fordtrestle.dissemination.items import EjectionRecord, Phase, ServerRecord, ejection_item, server_item
+from fordtrestle.routing.outliers import (
+    EJECTION_S,
+    FORGIVEN_S,
+    HALF_LIFE_S,
+    Ejection,
+    Health,
+    Tally,
+    is_outlier,
+    without_ejected,
+)
+from fordtrestle.routing.view import PEERS_KNOWN_S, View
+
+
+@dataclass(eq=False)
+class Stub:
+    """A server as far as outlier detection looks at it."""
+
+    name: str
+    region: str = "r-1"
+    health: Health = field(default_factory=Health)
+
+
+@pytest.mark.parametrize(
+    ("server", "others", "expected"),
+    [
+        pytest.param((0, 3), (9, 0), True, id="it alone fails all"),
+        pytest.param((3, 2), (9, 0), True, id="it alone fails some"),
+        pytest.param((9, 2), (9, 0), False, id="it fails few"),
+        pytest.param((0, 1), (9, 0), False, id="it has failed once"),
+        pytest.param((0, 9), (0, 9), False, id="all fail all"),
+        pytest.param((2, 3), (8, 3), False, id="others fail a third of that, or more"),
+        pytest.param((2, 3), (9, 1), True, id="others fail a sixth of that"),
+        pytest.param((0, 9), (0, 0), False, id="there is nobody to compare with"),
+    ],
+)
+def test_a_server_is_an_outlier_where_it_fails_far_more_than_the_others(server, others, expected):
+    good, bad = server
+    service = Tally(good + others[0], bad + others[1])
+    assert is_outlier(Tally(good, bad), service) is expected
+
+
+def test_outcomes_count_less_as_time_goes_by_and_a_clock_that_stands_changes_nothing():
+    tally = Tally()
+    tally.add(0.0, 4.0, 10.0)
+    assert tally.recent(10.0).bad == 4.0
+    assert tally.recent(10.0 + HALF_LIFE_S).bad == pytest.approx(2.0)
+    assert tally.recent(10.0).bad == pytest.approx(2.0)
+
+
+def test_ejections_that_follow_soon_last_twice_as_long_each_up_to_a_bound():
+    ejection, now, lasted = Ejection(), 100.0, []
+    for _ in range(7):
+        lasted.append(ejection.begin(now))
+        now = ejection.until + 1.0
+    assert lasted == [EJECTION_S * times for times in (1, 2, 4, 8, 16, 16, 16)]
+
+
+def test_an_ejection_long_after_the_last_one_is_a_first_one():
+    ejection = Ejection()
+    ejection.begin(0.0)
+    ejection.begin(3.0)
+    assert ejection.begin(ejection.until + FORGIVEN_S) == EJECTION_S
+
+
+def test_two_failures_beside_others_that_do_well_eject_a_server_and_the_time_ends_by_itself():
+    service, bad, good = Tally(), Health(), Health()
+    assert not good.note(False, service, 0.0)
+    assert not bad.note(True, service, 0.0)
+    assert not good.note(False, service, 0.1)
+    assert bad.note(True, service, 0.1)
+    assert bad.is_ejected(0.2) and not good.is_ejected(0.2)
+    assert not bad.is_ejected(0.1 + EJECTION_S)
+
+
+def test_a_failure_while_it_is_ejected_does_not_make_that_longer():
+    service, bad = Tally(9.0, 0.0), Health()
+    bad.note(True, service, 0.0)
+    bad.note(True, service, 0.1)
+    until = bad.own.until
+    assert not bad.note(True, service, 0.2) and bad.own.until == until
+
+
+def eject(servers, now=0.0):
+    for server in servers:
+        server.health.told_until = now + 5.0
+
+
+@pytest.mark.parametrize(("servers", "left"), [(1, 1), (2, 2), (3, 2), (6, 4), (30, 20)])
+def test_at_least_two_thirds_of_a_region_s_servers_are_left_however_many_are_ejected(servers, left):
+    here = [Stub(str(number)) for number in range(servers)]
+    eject(here)
+    assert len(without_ejected(here, 1.0)) == left
+
+
+def test_each_region_keeps_its_own_and_the_order_stays():
+    here = [Stub(str(number), region) for number, region in enumerate(("r-1", "r-2") * 3)]
+    eject(server for server in here if server.region == "r-2")
+    left = without_ejected(here, 1.0)
+    assert [server.name for server in left if server.region == "r-1"] == ["0", "2", "4"]
+    assert len([server for server in left if server.region == "r-2"]) == 2
+    assert left == sorted(left, key=lambda server: int(server.name))
+
+
+def test_own_evidence_goes_before_what_was_told():
+    here = [Stub(str(number)) for number in range(3)]
+    eject(here)
+    here[1].health.own.begin(0.0)
+    assert [server.name for server in without_ejected(here, 1.0)] == ["0", "2"]
+
+
+def record(instance):
+    return ServerRecord(
+        instance, "pool", f"10.0.0.{instance}:1", "z-1", 1, Phase.SERVING, False, 0, None, (), "c"
+    )
+
+
+def view_of(*instances, born=0.0):
+    view = View({"z-1": "r-1"}, 1.0, born)
+    for instance in instances:
+        item = server_item(record(instance), 1)
+        view.servers.take(item.value, item.version, born)
+    return view
+
+
+def usable(view, now):
+    return {server.instance for server in view.servers.usable("pool", (), (), now)}
+
+
+def ejection(instance, lasts_s=5.0):
+    return ejection_item(EjectionRecord(instance, lasts_s), None)
+
+
+def test_a_server_that_others_have_ejected_is_not_used_until_that_is_over():
+    view, now = view_of("1", "2", "3"), PEERS_KNOWN_S
+    view.apply([ejection("2")], now)
+    assert usable(view, now) == {"1", "3"}
+    assert usable(view, now + 5.0) == {"1", "2", "3"}
+
+
+def test_a_sidecar_that_has_just_started_does_not_take_up_what_may_be_long_over():
+    view = view_of("1", "2", "3")
+    view.apply([ejection("2")], PEERS_KNOWN_S / 2)
+    assert usable(view, PEERS_KNOWN_S / 2) == {"1", "2", "3"}
+
+
+def test_what_is_told_of_a_server_that_is_not_known_changes_nothing():
+    view = view_of("1")
+    view.apply([ejection("9")], PEERS_KNOWN_S)
+    assert usable(view, PEERS_KNOWN_S) == {"1"}
+
+
+def test_the_last_servers_of_a_service_are_used_whatever_they_do():
+    view, now = view_of("1", "2"), PEERS_KNOWN_S
+    view.apply([ejection("1"), ejection("2")], now)
+    assert usable(view, now) == {"1", "2"}
