--- a/fordtrestle/ingress/exchange.py
+++ b/fordtrestle/ingress/exchange.py
@@ -183,7 +183,7 @@
             attempts.sent(server.instance, rejected=isinstance(outcome, client.Rejected))
         match outcome:
             case client.Answered(response):
-                server.answered()
+                server.answered(now)
                 failed = response.status in FAILURE_STATUSES
                 attempts.may_have_run |= failed
                 self._ended(server, failed)
@@ -191,7 +191,7 @@
                 target_s = send.route.target_s
                 decider.selection.answered(callee, server, self._inbound.prompt, took_s, target_s, now)
             case client.Rejected(status):
-                server.answered()
+                server.answered(now)
                 if status in FULL_STATUSES:
                     decider.admission.rejected(callee, now)
                 elif status == MISDIRECTED:
@@ -204,7 +204,8 @@
                 self._ended(server, failed=True)
                 attempts.may_have_run = True
             case client.Overdue():
-                self._ended(server, failed=True)
+                if server.is_silent_since(now - took_s):
+                    self._ended(server, failed=True)
                 attempts.may_have_run = True
 
     async def _stream(
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -81,6 +81,7 @@
             **metrics.of_catalog(process.gossip.catalog),
             **decider.admission.figures(),
             "open_requests": front.open_requests,
+            "servers_ejected": view.servers.ejected(loop.time()),
             "links": len(process.mesh.links()),
         }
 
--- a/fordtrestle/routing/servers.py
+++ b/fordtrestle/routing/servers.py
@@ -30,6 +30,7 @@
     reading: int = 0  # tokens of this sidecar's own prompts there, of which no answer has begun
     cold_until: float = 0.0
     rest_until: float = 0.0
+    answered_at: float = float("-inf")  # when it last answered anything
     failures: int = 0  # connections that did not come up, in a row
     delay: float = 0.0  # mean of how late its answers began, in shares of their objectives, as of `delay_at`
     delay_at: float = 0.0
@@ -53,9 +54,13 @@
         self.rest_until = now + REST_S * 2 ** min(self.failures, REST_DOUBLINGS)
         self.failures += 1
 
-    def answered(self) -> None:
+    def answered(self, now: float) -> None:
         """It has answered something."""
-        self.failures = 0
+        self.failures, self.answered_at = 0, now
+
+    def is_silent_since(self, sent: float) -> bool:
+        """Whether it has answered nothing to this sidecar since then: load lets a server answer some."""
+        return self.answered_at < sent
 
     def record_delay(self, delay: float, now: float) -> None:
         """An answer began so late, in shares of its objective."""
@@ -111,6 +116,10 @@
         if server:
             server.health.told_until = now + record.lasts_s
 
+    def ejected(self, now: float) -> int:
+        """How many servers are ejected."""
+        return sum(server.health.is_ejected(now) for server in self._servers.values())
+
     def mark_cold(self, zones: Collection[str], until: float) -> None:
         """Hold the servers of these zones to be cold until then at least."""
         for server in self._servers.values():
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -414,6 +414,12 @@
         "                failed = response.status in FAILURE_STATUSES\n",
         "                failed = False\n",
     ),
+    "a time-out tells of a server only where it is silent": _removal(
+        "ingress/exchange.py",
+        "tests/ingress/test_grey.py",
+        "                if server.is_silent_since(now - took_s):\n",
+        "                if True:\n",
+    ),
     "what befalls all servers ejects none": _removal(
         OUTLIERS, OUTLIERS_TESTS, " and share >= TIMES_OTHERS * others_share\n", "\n"
     ),
--- a/tests/ingress/test_grey.py
+++ b/tests/ingress/test_grey.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from tests.exchanges import Client, loopback, request
+from tests.exchanges import Client, loopback, request, until
 from tests.ingress.stage import Ending, Stage, StandIn, ok, route
 
 FAILED = b"HTTP/1.1 500 X\r\nX-Request-Id: q\r\nContent-Length: 4\r\n\r\noops"
@@ -13,8 +15,8 @@
 SERVERS = ("i-grey", "i-2", "i-3")
 
 
-def call():
-    return request("POST", "/a/x", "hello", X_Request_Id="q", X_Deadline_Ms="15000")
+def call(deadline_ms="15000"):
+    return request("POST", "/a/x", "hello", X_Request_Id="q", X_Deadline_Ms=deadline_ms)
 
 
 def health(stage, instance):
@@ -72,3 +74,40 @@
                 await client.exchange(call())
         [report] = stage.decider.reporter.take()
         assert [(o.instance, o.good, o.bad) for o in report.outcomes] == [("i-1", 2, 1)]
+
+
+class Hanging(StandIn):
+    """A server that answers a request only once it is told to; others go by at once."""
+
+    def __init__(self, *answers, hangs):
+        super().__init__(*answers)
+        self._hangs = hangs
+
+    async def before_answer(self):
+        if len(self.requests) in self._hangs:
+            await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ("hangs", "failures"),
+    [pytest.param({1}, 1, id="it says nothing at all"), pytest.param(set(), 0, id="it answers")],
+)
+@loopback
+async def test_a_request_whose_time_ends_counts_against_a_server_that_is_silent(hangs, failures):
+    async with Hanging(ok("q"), hangs=hangs) as server, Stage(route()) as stage:
+        stage.add(server, "i-1")
+        async with Client(stage.port) as client:
+            await client.exchange(call("100"))
+        assert health(stage, "i-1").outcomes.bad == failures
+
+
+@loopback
+async def test_a_request_whose_time_ends_tells_nothing_of_a_server_that_answers_others_meanwhile():
+    async with Hanging(ok("q"), hangs={1}) as server, Stage(route()) as stage:
+        stage.add(server, "i-1")
+        async with Client(stage.port) as slow, Client(stage.port) as quick:
+            waiting = asyncio.create_task(slow.exchange(call("400")))
+            await until(lambda: server.requests)
+            await quick.exchange(call())
+            assert (await waiting).startswith("HTTP/1.1 504")
+        assert health(stage, "i-1").outcomes.bad == 0
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -121,7 +121,7 @@
         server.failed(0.0)
         rests.append(server.rest_until)
     assert rests == [0.25, 0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
-    server.answered()
+    server.answered(0.0)
     server.failed(0.0)
     assert server.rest_until == 0.25
 
