Search what is unsafe if draining, gone and silent are forgotten

Change: tests/dissemination/test_forgetting.py plays processes that forget, are cut off and bring old words back; two guards that it finds.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -420,6 +420,17 @@
         "                if server.is_silent_since(now - took_s):\n",
         "                if True:\n",
     ),
+    "servers whose heartbeats went to an earlier life or to one that is gone are watched": _removal(
+        "control_api/heartbeats.py",
+        "tests/dissemination/test_forgetting.py",
+        "        self._adopt(catalog, now, inherits)\n",
+    ),
+    "a final phase outdoes all heartbeats": _removal(
+        "dissemination/items.py",
+        "tests/dissemination/test_forgetting.py",
+        "    version = (int(record.phase), sequence, int(record.silent))\n",
+        "    version = (sequence, int(record.phase), int(record.silent))\n",
+    ),
     "what befalls all servers ejects none": _removal(
         OUTLIERS, OUTLIERS_TESTS, "max(SHARE_LEAST, TIMES_OTHERS * median(shares))", "SHARE_LEAST"
     ),
