--- a/benchmarks/control_changes.py
+++ b/benchmarks/control_changes.py
@@ -17,7 +17,7 @@
 import time
 from pathlib import Path
 
-from fordtrestle.control_api.orders import Orders, Verdict
+from fordtrestle.control_api.orders import Orders, Outcome, Verdict
 from fordtrestle.peer.codec import Hello, decode
 from fordtrestle.peer.mesh import Mesh
 from fordtrestle.peer.replicator import Replicator
@@ -31,6 +31,7 @@
 
 
 FOUNDED_S = 5.0
+AGAIN_S, AGAIN_PAUSE_S = 15.0, 0.05  # for which a change is sent again, and between
 
 
 def _document(number: int, length: int) -> bytes:
@@ -47,6 +48,20 @@
     return json.dumps({"generation": number, "routes": routes, "services": [{"name": "pool"}]}).encode()
 
 
+async def _changed(orders: Orders, number: int, body: bytes) -> Outcome:
+    """A change, sent again unchanged while its store has lost its place, as operators do.
+
+    A store whose disk takes long, on a busy machine too, leads no more until its disk answers.
+    """
+    give_up = time.perf_counter() + AGAIN_S
+    while True:
+        outcome = await orders.change_config("put", number - 1, body, lambda: True)
+        is_final = outcome.verdict not in (Verdict.ELSEWHERE, Verdict.UNCLEAR)
+        if is_final or time.perf_counter() > give_up:
+            return outcome
+        await asyncio.sleep(AGAIN_PAUSE_S)
+
+
 async def changes(folder: Path, count: int, length: int) -> tuple[list[float], int]:
     """The seconds that each of some changes took, and the most bytes that the file held."""
     log = RecordLog(folder)
@@ -64,7 +79,7 @@
     for number in range(1, count + 1):
         body = _document(number, length)
         began = time.perf_counter()
-        outcome = await orders.change_config("put", number - 1, body, lambda: True)
+        outcome = await _changed(orders, number, body)
         took.append(time.perf_counter() - began)
         most = max(most, log.size)
         if outcome.verdict is not Verdict.DONE:
--- a/tests/replication/test_control_changes.py
+++ b/tests/replication/test_control_changes.py
@@ -4,7 +4,11 @@
 
 import asyncio
 
-from benchmarks.control_changes import changes, main, start
+import pytest
+
+from benchmarks.control_changes import _changed, changes, main, start
+from fordtrestle.control_api.orders import Outcome, Verdict
+from tests.virtual import virtual
 
 
 def test_the_file_stays_short_and_a_start_finds_all_changes(tmp_path):
@@ -23,3 +27,23 @@
 def test_the_table_is_printed(capsys):
     assert main(["--changes", "3", "--bytes", "300"]) == 0
     assert len(capsys.readouterr().out.splitlines()) == 2
+
+
+class Scripted:
+    """Orders that answer as they are told."""
+
+    def __init__(self, *verdicts):
+        self.verdicts = list(verdicts)
+        self.calls = []
+
+    async def change_config(self, verb, base, body, wanted):
+        self.calls.append((verb, base, body))
+        return Outcome(self.verdicts.pop(0))
+
+
+@pytest.mark.parametrize("final", [Verdict.DONE, Verdict.STALE, Verdict.INVALID])
+@virtual
+async def test_a_change_is_sent_again_unchanged_while_its_store_does_not_lead_or_is_unclear(final):
+    orders = Scripted(Verdict.ELSEWHERE, Verdict.UNCLEAR, final)
+    assert (await _changed(orders, 4, b"{}")).verdict is final
+    assert orders.calls == 3 * [("put", 3, b"{}")]
