Control endpoint counts and logs the calls that no route serves

Cause: that callers asked for paths which no control process has stood on no log and in no metric. Change: control_calls_without_route, and control:no-route once a part of the API (bounded). Result: tests/control_api, tests/test_layout.py pass.

--- a/fordtrestle/control_api/http.py
+++ b/fordtrestle/control_api/http.py
@@ -24,6 +24,7 @@
     ConfigRequestKind,
     EvacuationRequest,
 )
+from fordtrestle.control_api.unrouted_calls import UnroutedCalls
 from fordtrestle.control_api.withdrawals import WithdrawalConfirmer
 from fordtrestle.dissemination.items import MAX_DOCUMENT_BYTES, Phase
 from fordtrestle.peer.gossip import Gossip
@@ -54,7 +55,11 @@
 
 
 class ControlApi:
-    """Turns calls into commands and heartbeats, and their results into answers."""
+    """Turns calls into commands and heartbeats, and their results into answers.
+
+    Attributes:
+        unrouted_calls: The calls that none of its routes serves.
+    """
 
     def __init__(
         self,
@@ -81,10 +86,13 @@
         self._gossip = gossip
         self._zones = zones
         self._node = node
+        self.unrouted_calls = UnroutedCalls()
 
     def application(self) -> web.Application:
         """The routes of the endpoint."""
-        application = web.Application(middlewares=[answer_errors], client_max_size=MAX_DOCUMENT_BYTES)
+        application = web.Application(
+            middlewares=[self.unrouted_calls.middleware, answer_errors], client_max_size=MAX_DOCUMENT_BYTES
+        )
         application.add_routes(
             [
                 web.post("/v1/config/{kind:put|patch}", self._change_config),
@@ -97,6 +105,10 @@
         )
         return application
 
+    def figures(self) -> dict[str, float]:
+        """The metrics of this endpoint, by name."""
+        return {"control_calls_without_route": self.unrouted_calls.count}
+
     async def _change_config(self, request: web.Request) -> web.StreamResponse:
         base = request.headers.get(BASE_HEADER, "0")
         if not (base.isascii() and base.isdigit()):
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -63,11 +63,14 @@
 
 async def _serve_endpoints(control: ControlProcess, boot: BootSettings) -> list[web.AppRunner]:
     """Serve operators and servers, clients' lookups, and metrics, as far as the settings name them."""
-    runners = [await serve_http(control.make_api(boot).application(), boot.listen["control"])]
+    api = control.make_api(boot)
+    runners = [await serve_http(api.application(), boot.listen["control"])]
     directory = control.make_directory(boot)
     if "directory" in boot.listen:
         runners.append(await serve_http(directory.application(), boot.listen["directory"]))
-    runners += await serve_metrics(boot, lambda: {**control.figures(), **directory.figures()})
+    runners += await serve_metrics(
+        boot, lambda: {**control.figures(), **api.figures(), **directory.figures()}
+    )
     return runners
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -233,6 +233,7 @@
     "control_api/heartbeats.py",
     "control_api/http.py",
     "control_api/outliers.py",
+    "control_api/unrouted_calls.py",
     "control_api/withdrawals.py",
     "forward/client.py",
     "forward/connections.py",
