Locks, numbers, keys and watches are served over the control state

Change: coordination/ holds state, commands and their evaluation (pure); writes are replicated as changes of the control state, pipelined and answered once they are on all replicas; answers without a write are confirmed by a majority; any control process brings a call to the primary over its link; watches are answered from what a store follows, once committed (CommitNotice). Operators' commands no longer wait for a moment without writes. Protocol 2, log format 2: an older version would drop what it does not know.

--- a/fordtrestle/control_api/commands.py
+++ b/fordtrestle/control_api/commands.py
@@ -11,9 +11,11 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
 from functools import partial
 
 from fordtrestle.control_api.evaluation import evaluate
+from fordtrestle.control_api.leadership_confirmation import confirm_leadership
 from fordtrestle.control_api.requests import (
     CommandResult,
     CommandStatus,
@@ -22,15 +24,12 @@
     IsCallerWaiting,
 )
 from fordtrestle.peer.replicator import Replicator
+from fordtrestle.replication.node import PendingWrite
 from fordtrestle.replication.state import Change, ConfigChange, ControlState, Evacuation
 
 # For a write to reach all replicas, an epoch change in between included, which takes some 2 s.
 COMMIT_TIMEOUT_S = 5.0
 
-# For a majority of witnesses to answer a heartbeat: many round trips between regions. A store that has heard
-# nothing for so long is partitioned.
-CONFIRM_TIMEOUT_S = 2.0
-
 # Callers try another process after a second without an answer (PROTOCOL: the operator's API). An evacuation
 # builds on no generation, so one that has waited for longer might undo what came after it.
 EVACUATION_DEADLINE_S = 0.9
@@ -43,6 +42,14 @@
 MAX_INLINE_BYTES = 64 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class _CommittedState:
+    """A state that is on all replicas, and the write that led to it."""
+
+    state: ControlState
+    write: PendingWrite
+
+
 class CommandHandler:
     """Carries out commands on this store as far as it is the primary."""
 
@@ -89,14 +96,16 @@
             return CommandResult(CommandStatus.NOT_PRIMARY)
         if not await self._confirm_leadership():
             return self._not_done()
-        state = await self._committed_state()
-        return CommandResult(CommandStatus.DONE, document=state.document) if state else self._not_done()
+        newest = await self._committed_state()
+        if newest is None:
+            return self._not_done()
+        return CommandResult(CommandStatus.DONE, document=newest.state.document)
 
-    async def _change_config(self, request: ConfigRequest, state: ControlState) -> CommandResult:
-        evaluated = await self._evaluate(request, state)
+    async def _change_config(self, request: ConfigRequest, newest: _CommittedState) -> CommandResult:
+        evaluated = await self._evaluate(request, newest.state)
         if isinstance(evaluated, ConfigChange):
             # The caller may have tried another process meanwhile, and sent something newer there.
-            return await self._write(evaluated, state) if request.is_caller_waiting() else self._not_done()
+            return await self._write(evaluated, newest) if request.is_caller_waiting() else self._not_done()
         return evaluated if await self._confirm_leadership() else self._not_done()
 
     @staticmethod
@@ -106,22 +115,22 @@
         return evaluate(request, state)
 
     async def _evacuate(
-        self, request: EvacuationRequest, deadline: float, state: ControlState
+        self, request: EvacuationRequest, deadline: float, newest: _CommittedState
     ) -> CommandResult:
         # Confirmed also before a write: a process that stood still with this call in its queue reads during
         # the round trip that its caller has disconnected.
         if not await self._confirm_leadership():
             return self._not_done()
-        if (request.zone in state.evacuated) == request.active:
+        if (request.zone in newest.state.evacuated) == request.active:
             return CommandResult(CommandStatus.DONE)
         if not request.is_caller_waiting() or self._replicator.now() > deadline:
             return self._not_done()
-        return await self._write(Evacuation(request.zone, request.active), state)
+        return await self._write(Evacuation(request.zone, request.active), newest)
 
     async def _serialized(
         self,
         is_caller_waiting: IsCallerWaiting,
-        execute: Callable[[ControlState], Awaitable[CommandResult]],
+        execute: Callable[[_CommittedState], Awaitable[CommandResult]],
     ) -> CommandResult:
         """Execute a command on the newest state once all commands before it are through.
 
@@ -134,8 +143,8 @@
             return CommandResult(CommandStatus.UNKNOWN)
         try:
             async with self._turn():
-                state = await self._committed_state() if is_caller_waiting() else None
-                return await execute(state) if state else self._not_done()
+                newest = await self._committed_state() if is_caller_waiting() else None
+                return await execute(newest) if newest else self._not_done()
         except TimeoutError:
             return CommandResult(CommandStatus.UNKNOWN)
 
@@ -153,59 +162,42 @@
         finally:
             self._waiting -= 1
 
-    async def _committed_state(self) -> ControlState | None:
-        """The state, once all of it is on all replicas; nothing where that takes too long."""
-        await self._replicator.wait_until(self._is_state_committed, COMMIT_TIMEOUT_S)
-        return self._node.committed_state if self._node.is_ready else None
+    async def _committed_state(self) -> _CommittedState | None:
+        """The newest state, once all of it is on all replicas; nothing where that takes too long.
 
-    def _is_state_committed(self) -> bool:
-        """Whether all of the state is committed, or another store's concern."""
+        Applications write meanwhile. That changes nothing of what operators' commands are evaluated on.
+        """
         node = self._node
-        return not node.is_primary or (node.committed_state is not None and node.is_ready)
+        await self._replicator.wait_until(lambda: node.is_ready or not node.is_primary, COMMIT_TIMEOUT_S)
+        newest = _CommittedState(node.durable.state, node.newest_write)
+        await self._wait_for_commit(newest.write)
+        return newest if node.is_ready and node.has_committed(newest.write) else None
 
     async def _confirm_leadership(self) -> bool:
-        """Whether a majority of witnesses, asked now, knows of no newer epoch (Raft's read index)."""
-        node = self._node
-        asked = node.begin_confirmation(self._replicator.now())
-        self._replicator.pump()
-        await self._replicator.wait_until(
-            lambda: node.is_confirmed(asked) or not node.is_primary, CONFIRM_TIMEOUT_S
-        )
-        return node.is_confirmed(asked)
+        return await confirm_leadership(self._replicator)
 
-    async def _write(self, change: Change, evaluated_on: ControlState) -> CommandResult:
-        """Write a change, unless the state has changed since the change was evaluated on it.
+    async def _write(self, change: Change, evaluated_on: _CommittedState) -> CommandResult:
+        """Write a change, unless another store may have written since the state that it was evaluated on.
 
-        Identity is compared, not equality: while a long document was evaluated in a thread, this store may
-        have been deposed, and be primary again with what another store wrote meanwhile.
+        While a long document was evaluated in a thread, this store may have been deposed, and be primary
+        again with what another store wrote meanwhile.
         """
         node = self._node
-        if node.committed_state is not evaluated_on:
+        if not node.is_current(evaluated_on.write):
             return self._not_done()
         write = node.propose(change, self._replicator.now())
         if write is None:
             return self._not_done()
         self._replicator.pump()
-        is_over = await self._replicator.wait_until(
-            lambda: self._has_committed(write.sequence) or not node.is_primary, COMMIT_TIMEOUT_S
+        await self._wait_for_commit(write)
+        return CommandResult(CommandStatus.DONE) if node.has_committed(write) else self._not_done()
+
+    async def _wait_for_commit(self, write: PendingWrite) -> None:
+        """Wait until a write is on all replicas, another store decides about it, or time is over."""
+        node = self._node
+        await self._replicator.wait_until(
+            lambda: node.has_committed(write) or not node.is_current(write), COMMIT_TIMEOUT_S
         )
-        if is_over and self._has_committed(write.sequence) and self._holds(change):
-            return CommandResult(CommandStatus.DONE)
-        return self._not_done()
-
-    def _has_committed(self, sequence: int) -> bool:
-        """Whether the write of this sequence number is on all replicas."""
-        state = self._node.committed_state
-        return state is not None and state.sequence >= sequence
-
-    def _holds(self, change: Change) -> bool:
-        """Whether the committed state has this change: another primary may have written other things."""
-        state = self._node.committed_state
-        if state is None:
-            return False
-        if isinstance(change, ConfigChange):
-            return state.has_applied(change.digest)
-        return (change.zone in state.evacuated) == change.active
 
     def _not_done(self) -> CommandResult:
         """The result of a command that this store could not carry through."""
--- a/fordtrestle/control_api/http.py
+++ b/fordtrestle/control_api/http.py
@@ -1,5 +1,7 @@
 """The `control` endpoint: operators' commands, servers' heartbeats and listings over HTTP.
 
+Applications' calls stand in `coordination_http.py`.
+
 Paths, statuses, bodies and header fields are part of the protocol, and stay as they are.
 """
 
@@ -9,13 +11,13 @@
 import json
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any
 
 from aiohttp import web
 from returns.result import Failure, Success
 
 from fordtrestle.control_api import listings
 from fordtrestle.control_api.commands import CommandHandler
+from fordtrestle.control_api.coordination_http import CoordinationApi
 from fordtrestle.control_api.heartbeats import MAX_HEARTBEAT_BYTES, HeartbeatMonitor, read_heartbeat
 from fordtrestle.control_api.requests import (
     CommandResult,
@@ -24,36 +26,18 @@
     ConfigRequestKind,
     EvacuationRequest,
 )
+from fordtrestle.control_api.responses import RETRY_AFTER_S, read_body, reply
 from fordtrestle.control_api.unrouted_calls import UnroutedCalls
 from fordtrestle.control_api.withdrawals import WithdrawalConfirmer
 from fordtrestle.dissemination.items import MAX_DOCUMENT_BYTES, Phase
 from fordtrestle.peer.gossip import Gossip
 from fordtrestle.replication.node import Node
 
-# For the body of a call to arrive in full.
-BODY_TIMEOUT_S = 5.0
-
-# What callers are asked to wait for, in the header field `Retry-After`: about as long as an election takes.
-RETRY_AFTER_S = 0.3
-
 BASE_HEADER = "X-Base-Version"  # the generation that a change builds on
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def reply(status: int, *faults: str, **headers: str) -> web.Response:
-    """An answer in JSON.
-
-    Args:
-        status: The HTTP status.
-        faults: All that is wrong with the call, a line each.
-        headers: Header fields; underscores in their names stand for hyphens.
-    """
-    body: dict[str, Any] = {"errors": list(faults)} if faults else {}
-    named = {name.replace("_", "-"): value for name, value in headers.items()}
-    return web.json_response(body, status=status, headers=named)
-
-
 class ControlApi:
     """Turns calls into commands and heartbeats, and their results into answers.
 
@@ -66,6 +50,7 @@
         commands: CommandHandler,
         heartbeats: HeartbeatMonitor,
         withdrawals: WithdrawalConfirmer,
+        coordination: CoordinationApi,
         gossip: Gossip,
         zones: frozenset[str],
         node: Node,
@@ -76,6 +61,7 @@
             commands: Carries out operators' commands.
             heartbeats: Records servers' heartbeats.
             withdrawals: Confirms that a majority holds a server's withdrawal.
+            coordination: Answers applications' calls for locks, numbers, keys and watches.
             gossip: The table of members and servers.
             zones: The zones that can be evacuated.
             node: The replication of this store, for where the primary is.
@@ -83,6 +69,7 @@
         self._commands = commands
         self._heartbeats = heartbeats
         self._withdrawals = withdrawals
+        self._coordination = coordination
         self._gossip = gossip
         self._zones = zones
         self._node = node
@@ -101,6 +88,7 @@
                 web.get("/v1/{listing:epoch|members|servers}", self._list),
                 web.post("/v1/instances/{instance}/heartbeat", self._heartbeat),
                 web.post("/v1/instances/{instance}/deregister", self._deregister),
+                *self._coordination.routes(),
             ]
         )
         return application
@@ -209,17 +197,6 @@
     return transport is not None and not transport.is_closing()
 
 
-async def read_body(request: web.Request) -> bytes:
-    """Read the whole body.
-
-    Raises:
-        TimeoutError: It did not come in time.
-        aiohttp.web.HTTPRequestEntityTooLarge: It is longer than a configuration may be.
-    """
-    async with asyncio.timeout(BODY_TIMEOUT_S):
-        return await request.read()
-
-
 @web.middleware
 async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Answer errors in JSON, as everything else."""
--- a/fordtrestle/control_api/unrouted_calls.py
+++ b/fordtrestle/control_api/unrouted_calls.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-
 import eliot
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
 MAX_LOGGED_PATHS = 32  # a bound on memory and on the log: callers choose their paths
 MAX_LOGGED_PATH_CHARACTERS = 40
 LOGGED_SEGMENTS = 3  # with the empty one before the first slash: `/v1/locks` of `/v1/locks/NAME/start`
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-
 
 class UnroutedCalls:
     """Tells operators that callers expect something of this version that it does not serve.
@@ -26,7 +23,7 @@
         self._logged: set[str] = set()
 
     @property
-    def middleware(self) -> Callable[[web.Request, Handler], Awaitable[web.StreamResponse]]:
+    def middleware(self) -> Middleware:
         """Notices the calls, and leaves their answers as they are."""
 
         @web.middleware
--- /dev/null
+++ b/fordtrestle/control_api/watches.py
@@ -0,0 +1,149 @@
+"""Watches of groups of keys: long polls, answered from what this store holds as it follows the primary.
+
+Events are told once they are known to be committed. That there is none is told only once a read index, begun
+after the call came, has been reached: a store that is partitioned has none to tell, and does not know that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import defaultdict
+from collections.abc import Iterator
+
+from fordtrestle.control_api.read_index import READ_INDEX_TIMEOUT_S, SharedReadIndex
+from fordtrestle.coordination.answers import Overloaded, Unavailable
+from fordtrestle.coordination.history import Compacted, WatchEvents, committed_revision, events_after
+from fordtrestle.peer.replicator import Replicator
+
+MAX_WATCHES = 3000  # held at a time: each has a connection, of which a process has some thousand
+RETRY_S = 0.1  # before another read index is asked for
+
+WatchAnswer = WatchEvents | Compacted | Overloaded | Unavailable
+
+
+class WatchService:
+    """Holds watches until there is something to tell."""
+
+    def __init__(self, replicator: Replicator, read_index: SharedReadIndex) -> None:
+        """Begin with no watch.
+
+        Args:
+            replicator: Drives this store.
+            read_index: Asks how far acknowledged writes go.
+        """
+        self.held = 0  # watches
+        self._replicator = replicator
+        self._node = replicator.node
+        self._now = replicator.now
+        self._read_index = read_index
+        self._is_closing = False
+        self._wake_ups: defaultdict[str, set[asyncio.Event]] = defaultdict(set)  # by group
+        self._told: dict[str, int] = {}  # by group that is watched: the newest committed revision
+        self._seen_sequence = 0
+
+    async def watch(self, group: str, after: int, wait_s: float) -> WatchAnswer:
+        """Wait for events of a group.
+
+        Args:
+            group: Its name.
+            after: The newest revision that the caller knows of; 0 asks for the present one alone.
+            wait_s: For how long to wait for one.
+
+        Returns:
+            The events; none once the time is over. `Unavailable` where this store can't be sure that there is
+            none, or ends.
+        """
+        if self.held >= MAX_WATCHES:
+            return Overloaded()
+        self.held += 1
+        try:
+            with self._woken_for(group) as wake_up:
+                return await self._watch(group, after, self._now() + wait_s, wake_up)
+        finally:
+            self.held -= 1
+
+    def on_progress(self) -> None:
+        """Wake the watches of groups in which more is committed."""
+        sequence = self._node.committed_sequence
+        if sequence == self._seen_sequence:
+            return
+        self._seen_sequence = sequence
+        for group, wake_ups in self._wake_ups.items():
+            revision = self._committed_revision(group)
+            if revision != self._told.get(group):
+                self._told[group] = revision
+                for wake_up in wake_ups:
+                    wake_up.set()
+
+    def close(self) -> None:
+        """Answer all watches now, and each that comes from now on: their callers go to another process."""
+        self._is_closing = True
+        for wake_ups in self._wake_ups.values():
+            for wake_up in wake_ups:
+                wake_up.set()
+
+    async def _watch(self, group: str, after: int, until: float, wake_up: asyncio.Event) -> WatchAnswer:
+        if not self._is_following():
+            return Unavailable()
+        confirmation = asyncio.create_task(self._reach_read_index(until))
+        confirmation.add_done_callback(lambda _: wake_up.set())
+        try:
+            while not self._is_closing:
+                found = self._find(group, after)
+                if isinstance(found, Compacted) or found.events:
+                    return found
+                if confirmation.done() and (after == 0 or self._now() >= until):
+                    return found if confirmation.result() else Unavailable()
+                wake_up.clear()
+                # Once the time is over, the confirmation is waited for: it has a deadline of its own.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout_at(until if self._now() < until else None):
+                        await wake_up.wait()
+            return Unavailable()
+        finally:
+            confirmation.cancel()
+
+    def _is_following(self) -> bool:
+        """Whether the primary sends this store what is written."""
+        epoch = self._node.epoch
+        return epoch is not None and self._node.me.id in epoch.witness_ids
+
+    async def _reach_read_index(self, until: float) -> bool:
+        """Whether this store has got as far as all had been acknowledged at some time after this call."""
+        give_up_at = max(until, self._now()) + READ_INDEX_TIMEOUT_S
+        sequence = await self._read_index.read()
+        while sequence is None and self._now() < give_up_at:
+            await asyncio.sleep(RETRY_S)
+            sequence = await self._read_index.read()
+        if sequence is None:
+            return False
+        return await self._catch_up(sequence, give_up_at - self._now())
+
+    async def _catch_up(self, sequence: int, timeout_s: float) -> bool:
+        node = self._node
+        return await self._replicator.wait_until(lambda: node.committed_sequence >= sequence, timeout_s)
+
+    def _find(self, group: str, after: int) -> WatchEvents | Compacted:
+        if after == 0:
+            return WatchEvents((), self._committed_revision(group))
+        state = self._node.durable.state.coordination.group(group)
+        return events_after(state, after, self._node.committed_sequence)
+
+    def _committed_revision(self, group: str) -> int:
+        state = self._node.durable.state.coordination.group(group)
+        return committed_revision(state, self._node.committed_sequence)
+
+    @contextlib.contextmanager
+    def _woken_for(self, group: str) -> Iterator[asyncio.Event]:
+        """An event that is set when there may be something to tell about a group."""
+        wake_up = asyncio.Event()
+        self._wake_ups[group].add(wake_up)
+        self._told.setdefault(group, self._committed_revision(group))
+        try:
+            yield wake_up
+        finally:
+            self._wake_ups[group].discard(wake_up)
+            if not self._wake_ups[group]:
+                del self._wake_ups[group]
+                self._told.pop(group, None)
--- a/fordtrestle/peer/handshake.py
+++ b/fordtrestle/peer/handshake.py
@@ -10,8 +10,9 @@
 from fordtrestle.peer.errors import HandshakeError, NoCommonVersionError
 from fordtrestle.peer.messages import Hello
 
-PROTOCOL_VERSION = 1  # the newest version of the protocol between processes that this program speaks
+PROTOCOL_VERSION = 2  # the newest version of the protocol between processes that this program speaks
 OLDEST_PROTOCOL_VERSION = 1  # the oldest one
+COORDINATION_VERSION = 2  # the first one whose stores take writes of locks, counters and keys
 
 
 def agreed_version(ours: Hello, theirs: Hello) -> int | None:
--- a/fordtrestle/peer/wire_types.py
+++ b/fordtrestle/peer/wire_types.py
@@ -10,6 +10,8 @@
 from enum import IntEnum
 from typing import Any
 
+from fordtrestle.coordination import answers, calls, changes, commands
+from fordtrestle.coordination import state as coordination
 from fordtrestle.dissemination import delta, items, messages
 from fordtrestle.peer.handshake import PROTOCOL_VERSION
 from fordtrestle.peer.messages import Envelope, Hello
@@ -75,6 +77,40 @@
     items.EjectionRecord,
     messages.Outcomes,
     messages.OutcomeReport,
+    replication.CommitNotice,
+    coordination.Lock,
+    coordination.StoredValue,
+    coordination.KeyEvent,
+    coordination.KeyGroup,
+    coordination.CoordinationState,
+    changes.GrantLock,
+    changes.ExtendLock,
+    changes.FreeLock,
+    changes.AdvanceCounter,
+    changes.WriteKey,
+    commands.AcquireLock,
+    commands.RenewLock,
+    commands.ReleaseLock,
+    commands.IssueNumber,
+    commands.PutKey,
+    commands.GetKey,
+    commands.ReadIndex,
+    answers.LockGranted,
+    answers.LockRenewed,
+    answers.LockReleased,
+    answers.LockUnavailable,
+    answers.NumberIssued,
+    answers.KeyWritten,
+    answers.RevisionMismatch,
+    answers.KeyFound,
+    answers.KeyMissing,
+    answers.IndexRead,
+    answers.Overloaded,
+    answers.Unavailable,
+    answers.OutcomeUnknown,
+    answers.NotPrimary,
+    calls.CoordinationCall,
+    calls.CoordinationReply,
 )
 
 _ENUMERATIONS: dict[tuple[type, str], type[IntEnum]] = {
--- a/fordtrestle/replication/context.py
+++ b/fordtrestle/replication/context.py
@@ -7,7 +7,7 @@
 
 from fordtrestle.replication.durable import Durable
 from fordtrestle.replication.effects import Effects
-from fordtrestle.replication.epochs import Epoch, Store
+from fordtrestle.replication.epochs import Epoch, Store, Term
 from fordtrestle.replication.events import Events, StateSent
 from fordtrestle.replication.failure_detector import PrimaryFailureDetector
 from fordtrestle.replication.messages import Install, Message, Outgoing, Record
@@ -31,6 +31,7 @@
         effects: What is to be synced and sent next.
         peers: The other stores, as they have announced themselves.
         pre_votes: Who has granted this store's pre-vote.
+        committed_sequence: Writes up to this sequence are known to be committed.
     """
 
     me: Store
@@ -44,6 +45,16 @@
     effects: Effects = field(default_factory=Effects)
     peers: PeerTable = field(default_factory=PeerTable)
     pre_votes: PreVoteTally = field(default_factory=PreVoteTally)
+    committed_sequence: int = 0
+
+    def learn_committed(self, term: Term, sequence: int) -> None:
+        """Take in how far the writes of an epoch are committed.
+
+        Guards against the state of an older epoch, whose last writes may be others than those that were
+        committed under the same numbers. What was committed stays so in every later state.
+        """
+        if term == self.durable.installed_term:
+            self.committed_sequence = max(self.committed_sequence, sequence)
 
     def sync(self, records: Sequence[Record]) -> None:
         """Have records synced before any message that waits is sent."""
--- a/fordtrestle/replication/messages.py
+++ b/fordtrestle/replication/messages.py
@@ -12,6 +12,8 @@
 from fordtrestle.replication.epochs import UNKNOWN_CORE, Epoch, Store, Term
 from fordtrestle.replication.state import Change, ControlState
 
+UNKNOWN_SEQUENCE = -1
+
 
 @dataclass(frozen=True, slots=True)
 class Announce:
@@ -34,10 +36,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """From the primary to all stores: its epoch is open. `number` rises with each heartbeat."""
+    """From the primary to all stores: its epoch is open.
+
+    Attributes:
+        epoch: The epoch.
+        number: Rises with each heartbeat.
+        committed_sequence: The sequence up to which writes are committed; unknown to older versions.
+    """
 
     epoch: Epoch
     number: int
+    committed_sequence: int = UNKNOWN_SEQUENCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +144,14 @@
     change: Change
 
 
+@dataclass(frozen=True, slots=True)
+class CommitNotice:
+    """From the primary of that term to its witnesses: all replicas hold the writes up to `sequence`."""
+
+    term: Term
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class Appended:
     """All writes up to `sequence` are on disk."""
@@ -155,7 +172,7 @@
 VoteResponse = Prepared | Installed | Accepted | Appended
 
 # By the part of a store that handles them.
-ToWitness = Heartbeat | Resign | PreVote | VoteRequest
+ToWitness = Heartbeat | CommitNotice | Resign | PreVote | VoteRequest
 ToPrimary = HeartbeatAck | Appended
 ToCandidate = PreVoteGrant | Rejected | Prepared | Installed | Accepted
 Message = Announce | ToWitness | ToPrimary | ToCandidate
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -34,9 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingWrite:
-    """A write that is being replicated; `sequence` is its position in the order of writes."""
+    """A write that is being replicated.
+
+    Attributes:
+        sequence: Its position in the order of writes.
+        tenure: Of the primary that began it: another may give the position to another write.
+    """
 
     sequence: int
+    tenure: int
 
 
 class Node:
@@ -125,10 +131,36 @@
 
     @property
     def committed_state(self) -> ControlState | None:
-        """The state, where all of it is known to be on all replicas; None otherwise."""
-        state = self.durable.state
+        """The newest state that is known to be on all replicas, of a primary; None otherwise."""
+        leadership = self.primary.leadership
+        return leadership.committed_state if leadership else None
+
+    @property
+    def committed_sequence(self) -> int:
+        """The sequence up to which the writes that this store holds are known to be committed.
+
+        A store that lags may have heard of more than it holds.
+        """
+        leadership = self.primary.leadership
+        if leadership:
+            return leadership.committed_sequence
+        return min(self.context.committed_sequence, self.durable.state.sequence)
+
+    @property
+    def newest_write(self) -> PendingWrite:
+        """The newest write that this store holds: what rests on its state holds once that is committed."""
+        return PendingWrite(self.durable.state.sequence, self.primary.tenure)
+
+    def is_current(self, write: PendingWrite) -> bool:
+        """Whether this store has been primary ever since that write was its newest."""
+        return self.is_primary and write.tenure == self.primary.tenure
+
+    def has_committed(self, write: PendingWrite) -> bool:
+        """Whether a write of this tenure, with all before it, is on all replicas."""
         leadership = self.primary.leadership
-        return state if leadership and leadership.committed_sequence == state.sequence else None
+        if leadership is None or write.tenure != self.primary.tenure:
+            return False
+        return leadership.committed_sequence >= write.sequence
 
     def reachable_primary(self, now: float) -> Store | None:
         """Another store that was primary lately; None where callers had better try any store."""
@@ -148,11 +180,10 @@
         """Begin a write.
 
         Returns:
-            The write, acknowledged once `committed_state` reaches its sequence; None where this store can't
-            take any.
+            The write, acknowledged once it is committed; None where this store can't take any.
         """
         sequence = self.primary.propose(change, now) if self.is_ready else None
-        return None if sequence is None else PendingWrite(sequence)
+        return None if sequence is None else PendingWrite(sequence, self.primary.tenure)
 
     def begin_confirmation(self, now: float) -> int:
         """Ask all witnesses whether this is still the newest epoch (the read index of Raft, 6.4).
--- a/fordtrestle/replication/primary.py
+++ b/fordtrestle/replication/primary.py
@@ -10,6 +10,7 @@
 from fordtrestle.replication.messages import (
     Append,
     Appended,
+    CommitNotice,
     Heartbeat,
     HeartbeatAck,
     Install,
@@ -27,6 +28,7 @@
 
     def __init__(self, context: StoreContext, now: float) -> None:
         self.leadership: Leadership | None = None  # while this store is primary
+        self.tenure = 0  # how often this store has stepped down
         self._context = context
         self._heartbeat_at = now
         self._heartbeat_number = 0  # of the newest heartbeat
@@ -51,9 +53,10 @@
         context = self._context
         context.epoch = epoch
         context.detector.on_leading()
-        sequence = context.durable.state.sequence
+        state = context.durable.state
+        sequence = state.sequence
         self.leadership = Leadership(
-            epoch, committed_sequence=sequence, confirmed_at=now, is_committed=is_committed
+            epoch, committed_state=state, confirmed_at=now, is_committed=is_committed
         )
         for replica in epoch.replicas:
             self.leadership.on_appended(replica, sequence)
@@ -75,10 +78,10 @@
         if leadership is None:
             return None
         term, sequence = context.durable.installed_term, context.durable.state.sequence + 1
-        leadership.begin_append(now)
         records = context.durable.append(term, sequence, change)
         if records is None:
             return None
+        leadership.begin_append(context.durable.state, now)
         context.sync(records)
         context.send(context.me.id, Appended(term, sequence))
         for store_id in leadership.epoch.witness_ids:  # those that are no replicas follow, to step in at once
@@ -103,7 +106,7 @@
         state, term = context.durable.state, leadership.epoch.term
         held = message.sequence if message.installed_term == term else -1
         if held >= 0 and context.durable.installed_term == term:
-            leadership.on_appended(sender, held)
+            self._count_appended(leadership, sender, held)
         follows = sender in leadership.epoch.witness_ids
         if follows and leadership.catch_up.is_due(sender, held, state.sequence, now):
             context.send(sender, Install(term, state))
@@ -115,7 +118,7 @@
         """
         leadership = self.leadership
         if leadership and message.term == leadership.epoch.term == self._context.durable.installed_term:
-            leadership.on_appended(sender, message.sequence)
+            self._count_appended(leadership, sender, message.sequence)
 
     def is_heartbeat_due(self, now: float) -> bool:
         """Whether the interval since the last heartbeat has passed."""
@@ -131,7 +134,7 @@
         if leadership:
             self._heartbeat_number += 1
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
-            message = Heartbeat(leadership.epoch, self._heartbeat_number)
+            message = Heartbeat(leadership.epoch, self._heartbeat_number, leadership.committed_sequence)
             for store_id in sorted(context.peers.ids() | set(leadership.epoch.witness_ids)):
                 context.send(store_id, message)
         return self._heartbeat_number
@@ -169,9 +172,18 @@
         context = self._context
         if self.leadership:
             context.events.record(SteppedDown(self.leadership.epoch.term.number, reason))
+            self.tenure += 1
         self.leadership = None
         context.await_primary(now)
 
+    def _count_appended(self, leadership: Leadership, replica: str, sequence: int) -> None:
+        """Count a replica's writes, and let followers know at once of what is committed by them."""
+        if leadership.on_appended(replica, sequence):
+            notice = CommitNotice(leadership.epoch.term, leadership.committed_sequence)
+            for store_id in leadership.epoch.witness_ids:
+                if store_id != self._context.me.id:
+                    self._context.send(store_id, notice)
+
     def _view(self, leadership: Leadership, now: float) -> CoreView:
         context, epoch = self._context, leadership.epoch
         others = [store_id for store_id in epoch.witness_ids if store_id != epoch.primary]
--- a/fordtrestle/replication/state.py
+++ b/fordtrestle/replication/state.py
@@ -1,9 +1,12 @@
-"""The state that survives: the configuration, the evacuated zones, the calls that were applied. Pure."""
+"""The state that survives: configuration, evacuated zones, calls that were applied, coordination. Pure."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
 
+from fordtrestle.coordination.changes import CoordinationChange
+from fordtrestle.coordination.state import EMPTY, CoordinationState
+
 MAX_APPLIED_CALLS = 2048  # calls remembered, so that one sent again is acknowledged again
 DIGEST_PREFIX_BYTES = (
     4  # of the digest of a call from before those: one with another prefix was never applied
@@ -42,7 +45,7 @@
     active: bool
 
 
-Change = ConfigChange | Evacuation
+Change = ConfigChange | Evacuation | CoordinationChange
 
 
 def _holds_prefix(prefixes: bytes, wanted: bytes) -> bool:
@@ -65,6 +68,7 @@
         applied_calls: The newest calls, in their order.
         forgotten_base: The newest generation that a call built on of which nothing is known any more.
         digest_prefixes: First bytes of the digests of the calls before `applied_calls`, in their order.
+        coordination: Locks, counters and keys.
     """
 
     sequence: int = 0
@@ -74,6 +78,7 @@
     applied_calls: tuple[AppliedCall, ...] = ()
     forgotten_base: int = -1
     digest_prefixes: bytes = b""
+    coordination: CoordinationState = EMPTY
 
     def has_applied(self, digest: bytes) -> bool:
         """Whether this very call is known to have been applied."""
@@ -95,10 +100,15 @@
     def apply(self, change: Change) -> ControlState:
         """The state after one more change."""
         after = replace(self, sequence=self.sequence + 1)
-        if isinstance(change, ConfigChange):
-            return after._with_configuration(change)
-        others = tuple(zone for zone in self.evacuated if zone != change.zone)
-        return replace(after, evacuated=(*others, change.zone) if change.active else others)
+        match change:
+            case ConfigChange():
+                return after._with_configuration(change)
+            case Evacuation():
+                others = tuple(zone for zone in self.evacuated if zone != change.zone)
+                return replace(after, evacuated=(*others, change.zone) if change.active else others)
+            case _:
+                coordination = self.coordination.apply(change, after.sequence)
+                return replace(after, coordination=coordination)
 
     def _with_configuration(self, change: ConfigChange) -> ControlState:
         """This state with another configuration, and its call remembered.
--- a/fordtrestle/replication/witness.py
+++ b/fordtrestle/replication/witness.py
@@ -10,6 +10,7 @@
 from fordtrestle.replication.epochs import Term, is_same_core
 from fordtrestle.replication.events import Reason
 from fordtrestle.replication.messages import (
+    CommitNotice,
     Heartbeat,
     HeartbeatAck,
     PreVote,
@@ -36,6 +37,8 @@
         match message:
             case Heartbeat():
                 self._on_heartbeat(sender, message, now)
+            case CommitNotice(term, sequence):
+                self._context.learn_committed(term, sequence)
             case Resign(term):
                 self._on_resign(term, now)
             case PreVote():
@@ -73,6 +76,7 @@
         sequence = durable.state.sequence
         context.send(sender, HeartbeatAck(epoch.term, message.number, durable.installed_term, sequence))
         context.epoch = epoch
+        context.learn_committed(epoch.term, message.committed_sequence)
         if sender == context.me.id:
             return
         context.detector.on_heartbeat(epoch.store(epoch.primary), now)
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -56,6 +56,7 @@
     control.process.announce(Availability.READY)
     runners = await _serve_endpoints(control, boot)
     budget = await _run_until_handed_over(control)
+    control.watches.close()
     for runner in runners:
         await budget.run_step("endpoint", runner.cleanup(), ENDPOINT_CLOSE_TIMEOUT_S)
     await budget.run_step("links", control.process.mesh.close(), LINKS_CLOSE_TIMEOUT_S)
--- a/fordtrestle/roles/control_process.py
+++ b/fordtrestle/roles/control_process.py
@@ -7,24 +7,34 @@
 
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 import eliot
 
 from fordtrestle.control_api.commands import CommandHandler
+from fordtrestle.control_api.coordination_http import CoordinationApi
+from fordtrestle.control_api.coordination_router import CoordinationRouter
+from fordtrestle.control_api.coordination_service import CoordinationService
 from fordtrestle.control_api.heartbeats import HeartbeatMonitor
 from fordtrestle.control_api.http import ControlApi
 from fordtrestle.control_api.outliers import OutlierDetector
+from fordtrestle.control_api.read_index import SharedReadIndex
+from fordtrestle.control_api.watches import WatchService
 from fordtrestle.control_api.withdrawals import WithdrawalConfirmer
+from fordtrestle.coordination.calls import CoordinationCall, CoordinationReply
+from fordtrestle.coordination.limits import HISTORY_MARGIN_S
+from fordtrestle.coordination.observation_clock import ObservationClock
 from fordtrestle.dissemination.items import ControlView, control_item
 from fordtrestle.dissemination.messages import Confirm, Confirmed, OutcomeReport
 from fordtrestle.dissemination.ownership import successor_of
 from fordtrestle.ingress.directory import Directory
+from fordtrestle.peer.handshake import COORDINATION_VERSION
 from fordtrestle.peer.link import Link
 from fordtrestle.peer.messages import Envelope
 from fordtrestle.peer.replicator import Replicator
 from fordtrestle.replication.durable import Durable
-from fordtrestle.replication.epochs import Epoch, Store
+from fordtrestle.replication.epochs import NO_TERM, Epoch, Store, Term
 from fordtrestle.replication.messages import Announce
 from fordtrestle.replication.node import Node
 from fordtrestle.replication.state import ControlState
@@ -43,7 +53,23 @@
 # Between two checks whether this process can leave. That depends on time, too: no event could announce it.
 LEAVE_CHECK_S = 0.05
 
-NOTHING_PUBLISHED = -1  # below all sequences and epochs
+NOTHING_LOGGED = -1  # below all epochs
+
+
+@dataclass(frozen=True, slots=True)
+class _PublishedState:
+    """What of a committed state the other processes are told, and where it came from.
+
+    Most writes are applications', and change nothing of it. The term is part of it: another primary may have
+    published something else in between.
+    """
+
+    term: Term
+    generation: int
+    evacuated: tuple[str, ...]
+
+
+NOTHING_PUBLISHED = _PublishedState(NO_TERM, -1, ())
 
 
 class ControlProcess:
@@ -68,9 +94,13 @@
             me, self.process.mesh, self.process.gossip, lambda: self.node.newest_epoch
         )
         self.outliers = OutlierDetector(self.process.gossip, dict(boot.zones))
+        self.coordination = self._make_coordination(boot)
+        self.router = CoordinationRouter(self.coordination, self.node, self.process.mesh)
+        read_index = SharedReadIndex(self.router.call, self.replicator.now)
+        self.watches = WatchService(self.replicator, read_index)
         self._event_log = EventLog(self.node.events)
-        self._published_sequence = NOTHING_PUBLISHED
-        self._logged_epoch = NOTHING_PUBLISHED
+        self._published = NOTHING_PUBLISHED
+        self._logged_epoch = NOTHING_LOGGED
         self.process.on_message = self._on_message
 
     def make_api(self, boot: BootSettings) -> ControlApi:
@@ -79,6 +109,7 @@
             CommandHandler(self.replicator),
             self.heartbeats,
             self.withdrawals,
+            CoordinationApi(self.router.call, self.watches),
             self.process.gossip,
             frozenset(boot.zones),
             self.node,
@@ -116,6 +147,7 @@
             "log_bytes": self.replicator.log_bytes,
             "links": len(self.process.mesh.links()),
             "messages_skipped": self.process.mesh.skipped_messages,
+            **metrics.of_coordination(state.coordination, self.coordination.answers, self.watches.held),
         }
 
     async def leave(self) -> None:
@@ -154,6 +186,15 @@
             seeds=self._seeds,
         )
 
+    def _make_coordination(self, boot: BootSettings) -> CoordinationService:
+        clock = ObservationClock(boot.bounds.history_s + HISTORY_MARGIN_S)
+        return CoordinationService(self.replicator, clock, self._is_coordination_supported)
+
+    def _is_coordination_supported(self) -> bool:
+        """Whether all control processes that this one is linked to know of applications' writes."""
+        links = [link for link in self.process.mesh.links() if self.process.is_control(link.peer)]
+        return all(link.version >= COORDINATION_VERSION for link in links)
+
     def _seeds(self) -> list[str]:
         """The seeds as the settings file has them now, not as it had them at the start."""
         return [str(seed) for seed in self.process.boot.seeds]
@@ -166,22 +207,30 @@
                 self.withdrawals.on_confirmed(link, message)
             case OutcomeReport():
                 self.outliers.on_report(link.node, message, asyncio.get_running_loop().time())
+            case CoordinationCall():
+                self.router.on_call(link, message)
+            case CoordinationReply():
+                self.router.on_reply(message)
             case Envelope() | Announce():
                 self.replicator.on_message(message)
 
     def _on_progress(self) -> None:
-        """Publish and log what has changed in the replication."""
+        """Publish, answer and log what has changed in the replication."""
         self._event_log.write()
-        state = self.node.committed_state
-        if state and self.node.is_ready and state.sequence > self._published_sequence:
-            self._publish_state(state)
-        epoch = self.node.epoch
+        self.coordination.observe()
+        self.watches.on_progress()
+        epoch, state = self.node.epoch, self.node.committed_state
+        if epoch and state and self.node.is_ready:
+            self._publish_state(epoch, state)
         if epoch and epoch.term.number != self._logged_epoch:
             self._log_epoch(epoch)
 
-    def _publish_state(self, state: ControlState) -> None:
-        """Spread a committed state to all processes; one that is not committed may still be lost."""
-        self._published_sequence = state.sequence
+    def _publish_state(self, epoch: Epoch, state: ControlState) -> None:
+        """Spread what is new in a committed state; one that is not committed may still be lost."""
+        published = _PublishedState(epoch.term, state.generation, state.evacuated)
+        if published == self._published:
+            return
+        self._published = published
         view = ControlView(state.sequence, state.generation, state.document, state.evacuated)
         self.process.gossip.publish([control_item(view)])
 
--- a/fordtrestle/roles/control_store.py
+++ b/fordtrestle/roles/control_store.py
@@ -51,4 +51,7 @@
     if durable is None:
         durable = Durable(secrets.token_hex(STORE_ID_BYTES), must_bootstrap)
         await asyncio.to_thread(log.append, [encode(record) for record in durable.snapshot()])
+    elif log.is_outdated:
+        # Whatever is appended from here on, an older version would rewrite without the fields that it lacks.
+        await asyncio.to_thread(log.rewrite, [encode(record) for record in durable.snapshot()])
     return durable
--- a/fordtrestle/roles/metrics.py
+++ b/fordtrestle/roles/metrics.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from fordtrestle.coordination.state import CoordinationState
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import Availability, Phase
 from fordtrestle.replication.events import Events
@@ -57,6 +58,18 @@
     return {EVENT_METRICS[name]: count for name, count in events.counts.items()}
 
 
+def of_coordination(state: CoordinationState, answers: Mapping[type, int], watches: int) -> dict[str, float]:
+    """Metrics of locks, counters and keys, and of what this process answered as primary."""
+    return {
+        "locks": len(state.locks),
+        "counters": len(state.counters),
+        "keys": sum(len(group.values) for group in state.groups.values()),
+        "stored_characters": state.stored_characters,
+        "watches_held": watches,
+        **{f"coordination_{to_snake_case(kind.__name__)}": count for kind, count in answers.items()},
+    }
+
+
 def to_snake_case(name: str) -> str:
     """The name of a class in lower case, its words joined by underscores."""
     return re.sub(r"(?<=.)(?=[A-Z])", "_", name).lower()
--- a/fordtrestle/settings/records.py
+++ b/fordtrestle/settings/records.py
@@ -57,6 +57,7 @@
     cold_slack: float = 0.0
     evacuation_s: float = 5.0
     max_ttl_s: float = 2.0
+    history_s: float = 20.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fordtrestle/settings/schema.py
+++ b/fordtrestle/settings/schema.py
@@ -74,6 +74,7 @@
     cold_slack = _figure(0.0)
     evacuation_ms = _figure(5000.0)
     ttl_max_s = _figure(2.0)
+    history_s = _figure(20.0)
 
     @post_load
     def make(self, data: dict[str, Any], **_: Any) -> Bounds:
@@ -87,6 +88,7 @@
             cold_slack=data["cold_slack"],
             evacuation_s=data["evacuation_ms"] / MS_PER_S,
             max_ttl_s=data["ttl_max_s"],
+            history_s=data["history_s"],
         )
 
 
--- a/fordtrestle/storage/log.py
+++ b/fordtrestle/storage/log.py
@@ -18,7 +18,8 @@
 NEW_NAME = "control.log.new"  # a rewrite that has not replaced the file yet
 
 MAGIC = b"fordtrestle log "  # what the first record begins with, before its format
-FORMAT = b"1"
+FORMAT = b"2"  # that is written: states may hold locks, counters and keys
+READABLE_FORMATS = (b"1", FORMAT)
 
 # A record of its own, so that versions that know of no header refuse it as a message, and leave the file.
 HEADER = frame(MAGIC + FORMAT)
@@ -42,6 +43,7 @@
         self._is_folder_synced = True
         self._has_refused_tail = False  # what a refused append wrote may still stand behind the last record
         self.size = 0  # bytes of the records in force
+        self.is_outdated = False  # whether an older version may read the file, and drop what it does not know
 
     def __enter__(self) -> RecordLog:
         return self
@@ -71,6 +73,7 @@
             self.close()
             self._file = os.open(self._path, os.O_RDWR | os.O_CREAT, FILE_MODE)
             records = list(scan(self._read_all()))
+            self.is_outdated = bool(records) and records[0].payload != MAGIC + FORMAT
             payloads = [record.payload for record in self._without_header(records)]
             self.size = records[-1].end if records else 0
             os.ftruncate(self._file, self.size)
@@ -126,6 +129,7 @@
             os.close(old)
             self.size = len(data)
             self._has_refused_tail = False
+            self.is_outdated = False
             self._is_folder_synced = False
             self._sync_folder()
         except OSError as error:
@@ -142,9 +146,10 @@
         if not records or not records[0].payload.startswith(MAGIC):
             return records
         found = records[0].payload[len(MAGIC) :]
-        if found != FORMAT:
+        if found not in READABLE_FORMATS:
             shown = found[:MAX_SHOWN_FORMAT_BYTES].decode(errors="replace")
-            raise UnknownFormatError(f"{self._path} has format {shown}; this version reads {FORMAT.decode()}")
+            readable = b", ".join(READABLE_FORMATS).decode()
+            raise UnknownFormatError(f"{self._path} has format {shown}; this version reads {readable}")
         return records[1:]
 
     def _read_all(self) -> bytes:
