--- a/tests/coordination/test_locks.py
+++ b/tests/coordination/test_locks.py
@@ -29,6 +29,7 @@
     stage.now += 0.002
     second = stage.ask(acquire("b"))
     assert second.fence > first.fence
+    assert stage.ask(acquire("b")) == second
     assert stage.ask(RenewLock("l", "a", first.fence, 1000.0)) == LockUnavailable()
 
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -231,8 +231,8 @@
     "a change whose caller has left is not written": _removal(
         COMMANDS,
         CONTROL_API_TESTS,
-        "return await self._write(evaluated, state) if request.is_caller_waiting() else self._not_done()",
-        "return await self._write(evaluated, state)",
+        "return await self._write(evaluated, newest) if request.is_caller_waiting() else self._not_done()",
+        "return await self._write(evaluated, newest)",
     ),
     "an evacuation whose caller has left is not written": _removal(
         COMMANDS,
