--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -15,6 +15,7 @@
 import tempfile
 from pathlib import Path
 
+from rig.coordination.history import Outcome
 from rig.system.deployment import REGIONS
 from rig.system.soak.checks import Finding, check
 from rig.system.soak.play import Play
@@ -43,9 +44,11 @@
     """One line on a play, and its first findings."""
     served = sum(asked.whole and asked.status == 200 for asked in record.asked)
     ended = sum(life.ended is not None for life in record.lives)
+    decided = sum(call.outcome in (Outcome.DONE, Outcome.REFUSED) for call in record.calls)
     line = (
         f"seed {schedule.seed:>4}: {len(schedule.steps)} steps, {ended} processes ended, "
-        f"{record.changes} changes, {served} of {len(record.asked)} requests served, {len(findings)} broken"
+        f"{record.changes} changes, {served} of {len(record.asked)} requests served, "
+        f"{decided} of {len(record.calls)} coordination calls decided, {len(findings)} broken"
     )
     return "\n".join([line, *(f"  {one.rule}: {one.text}" for one in findings[:TOLD_MOST])])
 
--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from rig.coordination.rules import check_history
 from rig.system.model_server import Run
 from rig.system.soak.record import Asked, Life, Record
 
@@ -23,6 +24,7 @@
 GONE_MOST = 3  # answers that name one later
 SERVED_PLANNED, SERVED_LEAST = 0.8, 0.4  # of all requests
 TWICE_MOST = 1
+HISTORY_S = 20.0  # within which a watch may resume
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +37,7 @@
 
 def check(record: Record) -> list[Finding]:
     """All breaches of a play."""
-    checks = (_lost, _home, _twice, _ends, _logs, _versions, _directory, _served)
+    checks = (_lost, _home, _twice, _ends, _logs, _versions, _directory, _served, _coordination)
     return [finding for one in checks for finding in one(record)]
 
 
@@ -171,3 +173,11 @@
     least = SERVED_PLANNED if planned else SERVED_LEAST
     if served < least * len(record.asked):
         yield Finding("SERVED", f"{served} of {len(record.asked)} requests")
+
+
+def _coordination(record: Record) -> Iterator[Finding]:
+    """Locks, numbers, keys and watches keep their rules, and are answered at the end."""
+    for breach in check_history(record.calls, HISTORY_S):
+        yield Finding(breach.rule, breach.text)
+    for call in record.unanswered:
+        yield Finding("LOST", f"no answer at the end: {call}")
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -12,6 +12,7 @@
 
 from rig.system.deployment import NEXT_PROGRAM, PROGRAM, REGIONS, Deployment, Machine, Program
 from rig.system.fleet import servers_of, until_ready
+from rig.system.soak.applications import Applications
 from rig.system.soak.clients import Client, Operator
 from rig.system.soak.record import Life, Record
 from rig.system.soak.schedule import Action, Schedule, Step
@@ -137,6 +138,8 @@
         self._deployment = Deployment(folder, sidecars, GRACE_S)
         self._supervisors = {m.name: Supervisor(m, self.record, program) for m in self._deployment.machines}
         self._rng = random.Random(schedule.seed)
+        applications_rng = random.Random(f"applications {schedule.seed}")  # so that older draws stay
+        self._applications = Applications(self._deployment, self.record, applications_rng)
         self._operator = Operator(self._deployment, self.record, random.Random(self._rng.random()))
         self._clients = [
             Client(self._deployment, region, self.record, random.Random(self._rng.random()))
@@ -181,6 +184,7 @@
             for client in self._clients:
                 tasks.create_task(client.run(session, until, CLIENT_RATE_S))
             tasks.create_task(self._operator.read(session, until))
+            tasks.create_task(self._applications.run(session, until))
             for step in self._schedule.steps:
                 await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
                 self._do(step, session, until, tasks)
--- a/rig/system/soak/record.py
+++ b/rig/system/soak/record.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from rig.coordination.history import Call
 from rig.system.model_server import Run
 
 # Times are s of the monotonic clock.
@@ -81,3 +82,5 @@
     runs: list[Run] = field(default_factory=list)
     log_lines: list[tuple[str, str]] = field(default_factory=list)  # machine and line
     changes: int = 0  # acknowledged
+    calls: list[Call] = field(default_factory=list)  # for locks, numbers, keys and watches
+    unanswered: list[str] = field(default_factory=list)  # of these, at the end
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -27,12 +27,14 @@
 CALLER_TIMEOUT_S = 1.0  # then a caller tries another machine
 SERVICE_TIMEOUT_S = 0.9
 MAX_SESSIONS = 6
-MAX_ATTEMPTS = 6
+PATIENCE_S = 1.0  # for a clear answer, from whichever machine
+FINAL_S = 3.0  # the same, at the end
 LOCKS, COUNTERS, KEYS = ("l1", "l2"), ("n1",), ("g.a", "g.b", "h.a")
 GROUPS = ("g.", "h.")
 HOLD_S = (0.05, 0.6)
 FINAL_TICKS = 400  # within which each object is asked for at the end
 
+CLEAR = (Outcome.DONE, Outcome.REFUSED)
 NOT_DONE = (answers.NotPrimary, answers.Unavailable, answers.Overloaded)
 
 
@@ -162,10 +164,10 @@
 
     # calls
 
-    async def _until_clear(self, call: Call, command: commands.Command) -> Call:
+    async def _until_clear(self, call: Call, command: commands.Command, seconds: float = PATIENCE_S) -> Call:
         """Send a call to one machine after the other until it has a clear answer; the last attempt."""
-        attempt = call
-        for _ in range(MAX_ATTEMPTS):
+        give_up_at = self.time + seconds
+        while True:
             attempt = await self._attempt(
                 Call(
                     call.operation,
@@ -178,10 +180,9 @@
                 ),
                 command,
             )
-            if attempt.outcome in (Outcome.DONE, Outcome.REFUSED):
+            if attempt.outcome in CLEAR or self.time > give_up_at:
                 return attempt
             await self._sleep(self.rng.uniform(0.0, 0.1))
-        return attempt
 
     async def _attempt(self, call: Call, command: commands.Command) -> Call:
         call.sent = self.time
@@ -248,14 +249,14 @@
             ),
         ]
         for call, command in asked:
-            attempt = asyncio.get_running_loop().create_task(self._until_clear(call, command))
+            attempt = asyncio.get_running_loop().create_task(self._until_clear(call, command, FINAL_S))
             for _ in range(FINAL_TICKS):
                 self.run_tick()
                 for _ in range(3):
                     await asyncio.sleep(0)
                 if attempt.done():
                     break
-            if not attempt.done() or attempt.result().outcome not in (Outcome.DONE, Outcome.REFUSED):
+            if not attempt.done() or attempt.result().outcome not in CLEAR:
                 raise InvariantError(f"LOST: no answer for {call.target} at the end")
 
 
