--- a/fordtrestle/control_api/watches.py
+++ b/fordtrestle/control_api/watches.py
@@ -20,9 +20,9 @@
 MAX_WATCHES = 3000  # held at a time: each has a connection, of which a process has some thousand
 RETRY_S = 0.1  # before another read index is asked for
 
-# For which the primary may not have been heard, for events to be told all the same. A store that lags by more
-# than the margin of the history would tell of a revision that others are about to forget.
-MAX_LAG_S = HISTORY_MARGIN_S / 4
+# How far events that are told may lag behind what was acknowledged. A store that lags by more than the margin
+# of the history would tell of a revision that others are about to forget.
+MAX_LAG_S = HISTORY_MARGIN_S / 2
 
 WatchAnswer = WatchEvents | Compacted | Overloaded | Unavailable
 
@@ -98,7 +98,7 @@
                 found = self._find(group, after)
                 if isinstance(found, Compacted):
                     return found
-                if found.events and self._node.is_following(self._now(), MAX_LAG_S):
+                if found.events and self._read_index.is_fresh(self._node.committed_sequence, MAX_LAG_S):
                     return found
                 is_due = found.events or after == 0 or self._now() >= until
                 if confirmation.done() and is_due:
--- a/fordtrestle/replication/node.py
+++ b/fordtrestle/replication/node.py
@@ -146,20 +146,6 @@
             return leadership.committed_sequence
         return min(self.context.committed_sequence, self.durable.state.sequence)
 
-    def is_following(self, now: float, lag_s: float) -> bool:
-        """Whether this store holds what was committed that long ago, as far as it knows: it may be cut off.
-
-        Args:
-            now: The time.
-            lag_s: How long ago the primary may have been heard last.
-        """
-        leadership, context = self.primary.leadership, self.context
-        if leadership:
-            return now - leadership.confirmed_at <= lag_s
-        is_of_epoch = context.epoch is not None and context.epoch.term == self.durable.installed_term
-        is_complete = context.committed_sequence <= self.durable.state.sequence
-        return is_of_epoch and is_complete and now - context.detector.heard_at <= lag_s
-
     @property
     def newest_write(self) -> PendingWrite:
         """The newest write that this store holds: what rests on its state holds once that is committed."""
--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -10,9 +10,12 @@
 import json
 import random
 
+import aiohttp
+
 from fordtrestle.control_api.commands import CommandHandler
 from fordtrestle.control_api.coordination_http import CoordinationApi
 from fordtrestle.control_api.coordination_router import CoordinationRouter
+from fordtrestle.control_api.coordination_schema import MAX_BODY_BYTES
 from fordtrestle.control_api.coordination_service import CoordinationService
 from fordtrestle.control_api.heartbeats import HeartbeatMonitor
 from fordtrestle.control_api.http import ControlApi
@@ -242,3 +245,61 @@
     restored = Durable.restore(map(decode, log.open()))
     assert json.loads(restored.state.document) == CONFIG
     log.close()
+
+
+def post(path, **body):
+    return request("POST", f"/v1/{path}", json.dumps(body))
+
+
+@loopback
+async def test_applications_take_locks_numbers_and_keys_and_watch(tmp_path, snapshot):
+    async with Stage(tmp_path) as stage, Client(stage.port) as client:
+        await client.exchange(post("locks/l-1/start", holder="a1", hold_ms=60_000))
+        await client.exchange(post("locks/l-1/start", holder="b2", hold_ms=60_000))
+        await client.exchange(post("locks/l-1/heartbeat", holder="a1", fence=1, hold_ms=60_000))
+        await client.exchange(post("locks/l-1/heartbeat", holder="a1", fence=9, hold_ms=60_000))
+        await client.exchange(post("locks/l-1/finish", holder="a1", fence=1))
+        await client.exchange(post("locks/l-1/finish", holder="a1", fence=1))
+        await client.exchange(post("numbers/n-1"))
+        await client.exchange(request("POST", "/v1/numbers/n-1"))
+        await client.exchange(post("cells/g.k/put", value="v1", if_revision=0))
+        await client.exchange(post("cells/g.k/put", value="v2", if_revision=0))
+        await client.exchange(post("cells/g.k/put", value="v2", if_revision=1))
+        await client.exchange(post("cells/g.k/put", value="v1", if_revision=0))
+        await client.exchange(request("GET", "/v1/cells/g.k/get"))
+        await client.exchange(request("GET", "/v1/cells/g.none/get"))
+        await client.exchange(request("GET", "/v1/watch/g.?after=0"))
+        await client.exchange(request("GET", "/v1/watch/g.?after=1&wait_ms=2000"))
+        await client.exchange(request("GET", "/v1/watch/g.?after=2&wait_ms=20"))
+    assert approved(client) == snapshot
+
+
+@loopback
+async def test_calls_of_applications_that_cannot_be_read_are_refused_with_all_that_is_wrong(
+    tmp_path, snapshot
+):
+    async with Stage(tmp_path) as stage, Client(stage.port) as client:
+        await client.exchange(request("POST", "/v1/locks/l-1/start", "{"))
+        await client.exchange(request("POST", "/v1/locks/l-1/start", "[]"))
+        await client.exchange(post("locks/l-1/start", holder="", hold_ms=0))
+        await client.exchange(post("locks/l-1/heartbeat", holder="a1", fence="one", hold_ms=10**9))
+        await client.exchange(post("cells/g.k/put", value=5, if_revision=-1))
+        await client.exchange(request("GET", f"/v1/cells/{'k' * 300}/get"))
+        await client.exchange(request("GET", "/v1/watch/g.?after=x&wait_ms=-1"))
+    assert approved(client) == snapshot
+
+
+@loopback
+async def test_who_knows_no_primary_promises_that_nothing_was_done(tmp_path, snapshot):
+    async with Stage(tmp_path, is_founder=False) as stage, Client(stage.port) as client:
+        await client.exchange(post("locks/l-1/start", holder="a1", hold_ms=1000))
+        await client.exchange(request("GET", "/v1/watch/g.?after=0"))
+    assert approved(client) == snapshot
+
+
+@loopback
+async def test_a_call_of_an_application_that_is_too_long_is_refused(tmp_path):
+    async with Stage(tmp_path) as stage, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{stage.port}/v1/cells/g.k/put"
+        async with session.post(url, json={"value": "x" * MAX_BODY_BYTES}) as answer:
+            assert answer.status == 413
--- /dev/null
+++ b/tests/control_api/test_watches.py
@@ -0,0 +1,147 @@
+"""Watches over one store: told at once, empty after their time, refused where nothing is sure."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fordtrestle.control_api import watches as watches_module
+from fordtrestle.control_api.read_index import SharedReadIndex
+from fordtrestle.control_api.watches import WatchService
+from fordtrestle.coordination.answers import IndexRead, Overloaded, Unavailable
+from fordtrestle.coordination.changes import WriteKey
+from fordtrestle.coordination.commands import ReadIndex
+from fordtrestle.coordination.history import Compacted, WatchEvents
+from tests.replication.serving_core import ServingCore
+from tests.virtual import virtual
+
+ROUND_TRIP_S = 0.1
+
+
+class LoopReplicator:
+    """What `WatchService` needs of a `Replicator`: a store on the loop's clock."""
+
+    def __init__(self, core, machine):
+        self.core, self.machine, self.node = core, machine, machine.node
+
+    @staticmethod
+    def now():
+        return asyncio.get_running_loop().time()
+
+    async def wait_until(self, condition, timeout_s):
+        end = self.now() + timeout_s
+        while not condition() and self.now() < end:
+            await asyncio.sleep(0.01)
+        return condition()
+
+
+class Stage:
+    """A follower that holds watches, and a primary whose read index can be cut off."""
+
+    def __init__(self):
+        self.core = ServingCore()
+        self.is_cut_off = False
+        self.reads = 0
+        replicator = LoopReplicator(self.core, self.core.b)
+        self.watches = WatchService(replicator, SharedReadIndex(self.call, replicator.now))
+
+    async def call(self, command, deadline):
+        assert command == ReadIndex()
+        self.reads += 1
+        await asyncio.sleep(ROUND_TRIP_S)
+        return Unavailable() if self.is_cut_off else IndexRead(self.core.a.node.durable.state.sequence)
+
+    def put(self, key, value, compacted=0):
+        self.core.a.node.propose(WriteKey(key, value, compacted), self.core.a.now)
+        self.core.pump(self.core.a)
+        self.core.exchange_all()
+        self.watches.on_progress()
+
+    def watch(self, after, wait_s=2.0, group="g."):
+        return asyncio.create_task(self.watches.watch(group, after, wait_s))
+
+
+@virtual
+async def test_a_put_is_told_at_once_and_only_to_watches_of_its_group():
+    stage = Stage()
+    stage.put("g.a", "1")
+    loop = asyncio.get_running_loop()
+    began, watch, other = loop.time(), stage.watch(1), stage.watch(1, group="h.")
+    await asyncio.sleep(0.5)
+    assert not watch.done()
+    stage.put("g.a", "2")
+    told = await watch
+    assert loop.time() - began < 0.6
+    assert ([event.value for event in told.events], told.revision) == (["2"], 2)
+    assert await other == WatchEvents((), 1)
+    assert stage.watches.held == 0
+
+
+@virtual
+async def test_without_a_put_a_watch_is_empty_after_its_time():
+    stage = Stage()
+    stage.put("g.a", "1")
+    began = asyncio.get_running_loop().time()
+    assert await stage.watch(1) == WatchEvents((), 1)
+    assert 2.0 <= asyncio.get_running_loop().time() - began < 2.1
+
+
+@virtual
+async def test_the_present_revision_is_told_as_soon_as_it_is_sure():
+    stage = Stage()
+    stage.put("g.a", "1")
+    began = asyncio.get_running_loop().time()
+    assert await stage.watch(0, wait_s=30.0) == WatchEvents((), 1)
+    assert asyncio.get_running_loop().time() - began < 2 * ROUND_TRIP_S
+
+
+@virtual
+async def test_a_store_that_is_cut_off_does_not_say_that_there_is_nothing():
+    stage = Stage()
+    stage.put("g.a", "1")
+    stage.is_cut_off = True
+    assert await stage.watch(1, wait_s=0.5) == Unavailable()
+    assert await stage.watch(0, wait_s=0.0) == Unavailable()
+
+
+@virtual
+async def test_a_store_that_is_cut_off_for_long_does_not_tell_the_events_that_it_has():
+    stage = Stage()
+    stage.put("g.a", "1")
+    stage.put("g.a", "2")
+    assert await stage.watch(0) == WatchEvents((), 2)
+    stage.is_cut_off = True
+    assert (await stage.watch(1)).revision == 2
+    await asyncio.sleep(watches_module.MAX_LAG_S + 1.0)
+    assert await stage.watch(1, wait_s=0.5) == Unavailable()
+
+
+@virtual
+async def test_a_revision_whose_events_are_forgotten_is_told_so():
+    stage = Stage()
+    stage.put("g.a", "1")
+    stage.put("g.a", "2")
+    stage.put("g.a", "3", compacted=2)
+    assert await stage.watch(1) == Compacted()
+
+
+@virtual
+async def test_many_watches_share_one_read_index_and_their_number_is_bounded(monkeypatch):
+    monkeypatch.setattr(watches_module, "MAX_WATCHES", 50)
+    stage = Stage()
+    stage.put("g.a", "1")
+    held = [stage.watch(1, wait_s=1.0) for _ in range(50)]
+    await asyncio.sleep(0)
+    assert await stage.watch(1) == Overloaded()
+    assert {await watch for watch in held} == {WatchEvents((), 1)}
+    assert stage.reads == 1
+
+
+@virtual
+async def test_a_process_that_ends_lets_its_watches_go():
+    stage = Stage()
+    stage.put("g.a", "1")
+    watch = stage.watch(1, wait_s=30.0)
+    await asyncio.sleep(0.5)
+    stage.watches.close()
+    assert await watch == Unavailable()
+    assert await stage.watch(1, wait_s=30.0) == Unavailable()
