Maps of the coordination state keep their identity where a change leaves them alone

Cause: each write copied all three maps, and the clock then looked at all locks and groups anew. Result: tests/coordination, tests/stored, tests/rig/coordination pass.

--- a/fordtrestle/coordination/state.py
+++ b/fordtrestle/coordination/state.py
@@ -79,8 +79,9 @@
     characters: int = 0
 
     def __post_init__(self) -> None:
-        """Hold maps that were decoded as what is fast to copy."""
-        object.__setattr__(self, "values", dict(self.values))
+        """Hold a map that was decoded as what is fast to copy."""
+        if type(self.values) is not dict:
+            object.__setattr__(self, "values", dict(self.values))
 
     def revision_of_put(self, key: str, value: str) -> int | None:
         """The revision at which a key got this value, as far as that is remembered."""
@@ -123,9 +124,11 @@
     stored_characters: int = 0  # of all keys, values and events
 
     def __post_init__(self) -> None:
-        """Hold maps that were decoded as what is fast to copy."""
+        """Hold maps that were decoded as what is fast to copy; others stay, and so does their identity."""
         for name in ("locks", "counters", "groups"):
-            object.__setattr__(self, name, dict(getattr(self, name)))
+            value = getattr(self, name)
+            if type(value) is not dict:
+                object.__setattr__(self, name, dict(value))
 
     def group(self, name: str) -> KeyGroup:
         """The keys of a group, which may be none."""
--- a/tests/coordination/test_keys.py
+++ b/tests/coordination/test_keys.py
@@ -117,3 +117,12 @@
     stage = Stage()
     put(stage, "g.a", "1")
     assert CoordinationState({}, {}, dict(stage.state.groups), stage.state.stored_characters) == stage.state
+
+
+def test_maps_that_a_change_leaves_alone_stay_the_same_object():
+    stage = Stage()
+    put(stage, "g.a", "1")
+    before = stage.state
+    put(stage, "g.b", "2")
+    assert stage.state.locks is before.locks
+    assert stage.state.groups is not before.groups
