--- a/fordtrestle/control_api/http.py
+++ b/fordtrestle/control_api/http.py
@@ -19,6 +19,7 @@
 from fordtrestle.control_api.commands import CommandHandler
 from fordtrestle.control_api.coordination_http import CoordinationApi
 from fordtrestle.control_api.heartbeats import MAX_HEARTBEAT_BYTES, HeartbeatMonitor, read_heartbeat
+from fordtrestle.control_api.open_calls import OpenCalls
 from fordtrestle.control_api.requests import (
     CommandResult,
     CommandStatus,
@@ -42,6 +43,7 @@
     """Turns calls into commands and heartbeats, and their results into answers.
 
     Attributes:
+        open_calls: The calls that are being answered.
         unrouted_calls: The calls that none of its routes serves.
     """
 
@@ -73,12 +75,14 @@
         self._gossip = gossip
         self._zones = zones
         self._node = node
+        self.open_calls = OpenCalls()
         self.unrouted_calls = UnroutedCalls()
 
     def application(self) -> web.Application:
         """The routes of the endpoint."""
         application = web.Application(
-            middlewares=[self.unrouted_calls.middleware, answer_errors], client_max_size=MAX_DOCUMENT_BYTES
+            middlewares=[self.open_calls.middleware, self.unrouted_calls.middleware, answer_errors],
+            client_max_size=MAX_DOCUMENT_BYTES,
         )
         application.add_routes(
             [
--- a/fordtrestle/roles/control.py
+++ b/fordtrestle/roles/control.py
@@ -10,6 +10,7 @@
 import eliot
 from aiohttp import web
 
+from fordtrestle.control_api.http import ControlApi
 from fordtrestle.dissemination.items import Availability
 from fordtrestle.peer.errors import CodecError
 from fordtrestle.roles.control_process import ControlProcess
@@ -25,6 +26,9 @@
 # Of the time that is left, reserved for closing endpoints and links once the hand-over is done or given up.
 CLOSE_RESERVE_S = 1.5
 
+# For the calls that were taken to be answered: as long as they may take (`control_api/coordination_http.py`).
+CALLS_CLOSE_TIMEOUT_S = 1.0
+
 
 async def run(boot: BootSettings) -> int:
     """Serve until SIGTERM; the exit code."""
@@ -54,17 +58,20 @@
     """
     await control.process.start()
     control.process.announce(Availability.READY)
-    runners = await _serve_endpoints(control, boot)
+    api = control.make_api(boot)
+    runners = await _serve_endpoints(control, api, boot)
     budget = await _run_until_handed_over(control)
     control.watches.close()
+    await budget.run_step("open calls", api.open_calls.close(), CALLS_CLOSE_TIMEOUT_S)
     for runner in runners:
         await budget.run_step("endpoint", runner.cleanup(), ENDPOINT_CLOSE_TIMEOUT_S)
     await budget.run_step("links", control.process.mesh.close(), LINKS_CLOSE_TIMEOUT_S)
 
 
-async def _serve_endpoints(control: ControlProcess, boot: BootSettings) -> list[web.AppRunner]:
+async def _serve_endpoints(
+    control: ControlProcess, api: ControlApi, boot: BootSettings
+) -> list[web.AppRunner]:
     """Serve operators and servers, clients' lookups, and metrics, as far as the settings name them."""
-    api = control.make_api(boot)
     runners = [await serve_http(api.application(), boot.listen["control"])]
     directory = control.make_directory(boot)
     if "directory" in boot.listen:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -255,6 +255,7 @@
     "control_api/heartbeats.py",
     "control_api/http.py",
     "control_api/leadership_confirmation.py",
+    "control_api/open_calls.py",
     "control_api/outliers.py",
     "control_api/read_index.py",
     "control_api/responses.py",
