--- a/tests/control_api/test_open_calls.py
+++ b/tests/control_api/test_open_calls.py
@@ -1,8 +1,8 @@
 """A control process that ends answers the calls that it has taken, and takes no others.
 
 A call for a lock waits for replicas in other regions, longer than the tenth of a second that an endpoint
-takes to close. The soak found what came of that: the caller got no answer, and the log an exception of aiohttp
-(`InvalidStateError` in `web_protocol.py`), as the handler ended just when it was cut.
+takes to close. The soak found what came of that: the caller got no answer, and the log an exception of
+aiohttp (`InvalidStateError` in `web_protocol.py`), as the handler ended just when it was cut.
 """
 
 from __future__ import annotations
