--- a/fordtrestle/control_api/coordination_router.py
+++ b/fordtrestle/control_api/coordination_router.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from fordtrestle.control_api.coordination_service import CoordinationService
-from fordtrestle.coordination.answers import Answer, NotPrimary, OutcomeUnknown, Unavailable
+from fordtrestle.coordination.answers import Answer, NotPrimary, OutcomeUnknown, Overloaded, Unavailable
 from fordtrestle.coordination.calls import CoordinationCall, CoordinationReply
 from fordtrestle.coordination.commands import Command
 from fordtrestle.peer.link import Link
@@ -21,8 +21,12 @@
 # For a primary to be found: a caller that is refused within a second asks elsewhere, by itself.
 FIND_PRIMARY_TIMEOUT_S = 0.6
 FIND_PRIMARY_RETRY_S = 0.05
+MAX_FORWARDED = 1024  # commands under way to the primary; a caller beyond them is asked to come back
 MS_PER_S = 1000.0
 
+CallCommand = Callable[[Command, float], Awaitable[Answer]]
+"""Has a command carried out before a deadline, as `CoordinationRouter.call` does."""
+
 
 class CoordinationRouter:
     """Has the primary carry commands out, and carries out those that other control processes bring."""
@@ -90,6 +94,8 @@
         remaining_s = deadline - loop.time()
         if remaining_s <= 0:
             return Unavailable()
+        if len(self._replies) >= MAX_FORWARDED:
+            return Overloaded()
         token, reply = next(self._tokens), loop.create_future()
         self._replies[token] = reply
         try:
@@ -102,7 +108,3 @@
             return OutcomeUnknown()
         finally:
             del self._replies[token]
-
-
-CallCommand = Callable[[Command, float], Awaitable[Answer]]
-"""Has a command carried out before a deadline, as `CoordinationRouter.call` does."""
--- a/fordtrestle/control_api/watches.py
+++ b/fordtrestle/control_api/watches.py
@@ -1,7 +1,7 @@
 """Watches of groups of keys: long polls, answered from what this store holds as it follows the primary.
 
-Events are told once they are known to be committed. That there is none is told only once a read index, begun
-after the call came, has been reached: a store that is partitioned has none to tell, and does not know that.
+Events are sent once they are known to be committed. An empty answer is sent only once a read index, begun
+after the call came, has been reached: a store that is partitioned knows of no event, nor of its state.
 """
 
 from __future__ import annotations
@@ -20,15 +20,15 @@
 MAX_WATCHES = 3000  # held at a time: each has a connection, of which a process has some thousand
 RETRY_S = 0.1  # before another read index is asked for
 
-# How far events that are told may lag behind what was acknowledged. A store that lags by more than the margin
-# of the history would tell of a revision that others are about to forget.
+# How far events that are sent may lag behind what was acknowledged. A store that lags by more than the margin
+# of the history would send a revision that others are about to forget.
 MAX_LAG_S = HISTORY_MARGIN_S / 2
 
 WatchAnswer = WatchEvents | Compacted | Overloaded | Unavailable
 
 
 class WatchService:
-    """Holds watches until there is something to tell."""
+    """Holds watches until there are events for them."""
 
     def __init__(self, replicator: Replicator, read_index: SharedReadIndex) -> None:
         """Begin with no watch.
@@ -44,7 +44,7 @@
         self._read_index = read_index
         self._is_closing = False
         self._wake_ups: defaultdict[str, set[asyncio.Event]] = defaultdict(set)  # by group
-        self._told: dict[str, int] = {}  # by group that is watched: the newest committed revision
+        self._announced: dict[str, int] = {}  # by group that is watched: the newest committed revision
         self._seen_sequence = 0
 
     async def watch(self, group: str, after: int, wait_s: float) -> WatchAnswer:
@@ -76,8 +76,8 @@
         self._seen_sequence = sequence
         for group, wake_ups in self._wake_ups.items():
             revision = self._committed_revision(group)
-            if revision != self._told.get(group):
-                self._told[group] = revision
+            if revision != self._announced.get(group):
+                self._announced[group] = revision
                 for wake_up in wake_ups:
                     wake_up.set()
 
@@ -144,14 +144,14 @@
 
     @contextlib.contextmanager
     def _woken_for(self, group: str) -> Iterator[asyncio.Event]:
-        """An event that is set when there may be something to tell about a group."""
+        """An event that is set when something new may be known of a group."""
         wake_up = asyncio.Event()
         self._wake_ups[group].add(wake_up)
-        self._told.setdefault(group, self._committed_revision(group))
+        self._announced.setdefault(group, self._committed_revision(group))
         try:
             yield wake_up
         finally:
             self._wake_ups[group].discard(wake_up)
             if not self._wake_ups[group]:
                 del self._wake_ups[group]
-                self._told.pop(group, None)
+                self._announced.pop(group, None)
--- a/fordtrestle/coordination/history.py
+++ b/fordtrestle/coordination/history.py
@@ -33,7 +33,7 @@
 
     Args:
         group: The group, as this store holds it.
-        revision: What the watch was told last.
+        revision: What the watch was sent last.
         committed_sequence: The sequence up to which writes are known to be committed.
     """
     if revision < group.compacted_revision:
--- a/fordtrestle/coordination/limits.py
+++ b/fordtrestle/coordination/limits.py
@@ -11,5 +11,5 @@
 MAX_WATCH_EVENTS = 500  # in one answer: the next call of the watch gets the others
 
 # For which the events of a group outlive the time that a watch may resume after (`history_s`): a watch is
-# told of a revision by a store that may lag, and asks again later.
+# sent a revision by a store that may lag, and asks again later.
 HISTORY_MARGIN_S = 10.0
--- a/rig/coordination/history.py
+++ b/rig/coordination/history.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShownEvent:
-    """A put as a watch was told of it."""
+    """A put as a watch was sent it."""
 
     key: str
     value: str
@@ -57,7 +57,7 @@
         if_revision: The revision that a put asked for; None for any.
         after: The revision that a watch resumed after.
         number: The number or revision of the answer; of a refused put the key's revision.
-        events: What a watch was told.
+        events: What a watch was sent.
     """
 
     operation: Operation
--- a/rig/coordination/rules.py
+++ b/rig/coordination/rules.py
@@ -17,7 +17,7 @@
 
     Args:
         calls: The calls of all applications.
-        history_s: For how long a watch may resume after a revision that it was told of.
+        history_s: For how long a watch may resume after a revision that it was sent.
     """
     by_sending = sorted(calls, key=lambda call: call.sent)
     checks: tuple[Check, ...] = (
@@ -170,7 +170,7 @@
             continue
         revisions = [event.revision for event in call.events]
         if revisions != sorted(set(revisions)) or any(one <= call.after for one in revisions):
-            yield Breach("ORDER", f"{call.target}: a watch after {call.after} was told {revisions}")
+            yield Breach("ORDER", f"{call.target}: a watch after {call.after} was sent {revisions}")
         due = {revision for revision in puts[call.target] if call.after < revision <= call.number}
         if due - set(revisions):
             lacking = sorted(due - set(revisions))
@@ -217,14 +217,14 @@
 
 
 def resumable_watches(calls: Sequence[Call], history_s: float) -> Iterator[Breach]:
-    """LOST: a watch may resume after a revision that it was told of less than the history's time before."""
-    told: dict[tuple[str, int], float] = {}
+    """LOST: a watch may resume after a revision that it was sent less than the history's time before."""
+    sent_at: dict[tuple[str, int], float] = {}
     for call in sorted(_of(calls, Operation.WATCH), key=lambda call: call.ended):
         if call.outcome is Outcome.REFUSED:
-            told_at = told.get((call.target, call.after))
-            if told_at is not None and call.sent - told_at < history_s:
+            last_sent_at = sent_at.get((call.target, call.after))
+            if last_sent_at is not None and call.sent - last_sent_at < history_s:
                 yield Breach(
-                    "LOST", f"{call.target}: {call.after}, told {call.sent - told_at:.1f} s ago, is gone"
+                    "LOST", f"{call.target}: {call.after}, sent {call.sent - last_sent_at:.1f} s ago, is gone"
                 )
         elif call.is_done:
-            told[call.target, call.number] = call.ended
+            sent_at[call.target, call.number] = call.ended
--- a/tests/control_api/test_watches.py
+++ b/tests/control_api/test_watches.py
@@ -1,4 +1,4 @@
-"""Watches over one store: told at once, empty after their time, refused where nothing is sure."""
+"""Watches over one store: answered at once, empty after their time, refused where nothing is sure."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 
 
 @virtual
-async def test_a_put_is_told_at_once_and_only_to_watches_of_its_group():
+async def test_a_put_is_sent_at_once_and_only_to_watches_of_its_group():
     stage = Stage()
     stage.put("g.a", "1")
     loop = asyncio.get_running_loop()
@@ -69,9 +69,9 @@
     await asyncio.sleep(0.5)
     assert not watch.done()
     stage.put("g.a", "2")
-    told = await watch
+    answer = await watch
     assert loop.time() - began < 0.6
-    assert ([event.value for event in told.events], told.revision) == (["2"], 2)
+    assert ([event.value for event in answer.events], answer.revision) == (["2"], 2)
     assert await other == WatchEvents((), 1)
     assert stage.watches.held == 0
 
@@ -86,7 +86,7 @@
 
 
 @virtual
-async def test_the_present_revision_is_told_as_soon_as_it_is_sure():
+async def test_the_present_revision_is_sent_as_soon_as_it_is_sure():
     stage = Stage()
     stage.put("g.a", "1")
     began = asyncio.get_running_loop().time()
@@ -104,7 +104,7 @@
 
 
 @virtual
-async def test_a_store_that_is_cut_off_for_long_does_not_tell_the_events_that_it_has():
+async def test_a_store_that_is_cut_off_for_long_does_not_send_the_events_that_it_has():
     stage = Stage()
     stage.put("g.a", "1")
     stage.put("g.a", "2")
@@ -116,7 +116,7 @@
 
 
 @virtual
-async def test_a_revision_whose_events_are_forgotten_is_told_so():
+async def test_a_revision_whose_events_are_forgotten_is_refused():
     stage = Stage()
     stage.put("g.a", "1")
     stage.put("g.a", "2")
--- a/tests/coordination/test_keys.py
+++ b/tests/coordination/test_keys.py
@@ -42,7 +42,7 @@
     assert stage.ask(GetKey("g.c")) == KeyMissing()
 
 
-def test_a_put_on_another_revision_is_refused_and_told_the_key_s_own():
+def test_a_put_on_another_revision_is_refused_with_the_key_s_own():
     stage = Stage()
     assert put(stage, "g.a", "1", 0) == KeyWritten(1)
     put(stage, "g.b", "2")
@@ -59,7 +59,7 @@
     assert stage.ask(GetKey("g.a")) == KeyFound("2", 2)
 
 
-def test_events_are_told_in_order_up_to_what_is_committed():
+def test_events_are_sent_in_order_up_to_what_is_committed():
     stage = Stage()
     for number in range(4):
         put(stage, "g.a", str(number))
--- a/tests/coordination/test_locks.py
+++ b/tests/coordination/test_locks.py
@@ -60,7 +60,7 @@
 
 
 @pytest.mark.parametrize("holder_and_fence", [("b", 1), ("a", 2)])
-def test_only_the_holder_gives_a_lock_back_and_everybody_is_told_so(holder_and_fence):
+def test_only_the_holder_gives_a_lock_back_and_everybody_is_answered_alike(holder_and_fence):
     stage = Stage()
     assert stage.ask(acquire("a")) == LockGranted(1)
     assert stage.ask(ReleaseLock("l", *holder_and_fence)) == LockReleased()
--- a/tests/roles/test_signals.py
+++ b/tests/roles/test_signals.py
@@ -11,7 +11,11 @@
 from tests.guards import ROOT
 
 PATIENCE_S = 20.0
-BEGIN = "from tests.guards import take_out; take_out()\n"
+# A run that was started so that it outlives its terminal has SIGHUP ignored, which its children inherit.
+BEGIN = """import signal
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+from tests.guards import take_out; take_out()
+"""
 STARTS = f"""{BEGIN}
 import time
 from fordtrestle.cli.start import install_early_signal_handlers
