Test: text that cannot be stored is refused, and the process serves on (known red)

Found on reading the change again: a value, holder or a server's field with a lone surrogate is JSON and no UTF-8, and the encoder's exception ends the process. Fails on the code as it is (UnicodeEncodeError).

--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -303,3 +303,22 @@
         url = f"http://127.0.0.1:{stage.port}/v1/cells/g.k/put"
         async with session.post(url, json={"value": "x" * MAX_BODY_BYTES}) as answer:
             assert answer.status == 413
+
+
+@loopback
+async def test_text_that_cannot_be_stored_is_refused_and_the_process_serves_on(tmp_path):
+    """A lone surrogate is JSON, and no UTF-8: the record of it could not be written, which ended the process."""
+    lone = '"\\ud800"'
+    calls = (
+        ("POST", "/v1/cells/g.k/put", f'{{"value": {lone}}}'),
+        ("POST", "/v1/locks/l-1/start", f'{{"holder": {lone}, "hold_ms": 100}}'),
+        ("POST", "/v1/instances/i-1/heartbeat", json.dumps({**HEARTBEAT, "backend": "\ud800"})),
+        ("POST", "/v1/instances/i-1/heartbeat", json.dumps({**HEARTBEAT, "models": [{"name": "\ud800"}]})),
+    )
+    async with Stage(tmp_path) as stage, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{stage.port}"
+        for method, path, body in calls:
+            async with session.request(method, url + path, data=body) as answer:
+                assert (path, answer.status) == (path, 400)
+        async with session.post(f"{url}/v1/numbers/n-1", data="{}") as answer:
+            assert answer.status == 200
