Text with a lone surrogate is refused; watches are bounded by the process's descriptors

Cause: a value, holder or a server's field with half a surrogate pair is JSON and can't be written as UTF-8; the encoder's exception ended the replicator and so the process, and a caller that sends again elsewhere would have ended the next. And 3,000 watches were held also where a process may open 1,024 descriptors. Change: json_body.py reads objects of heartbeats and of coordination (it stood twice) and refuses such text with 400; half of max_fds bounds the watches. Three guards.

--- a/fordtrestle/control_api/coordination_schema.py
+++ b/fordtrestle/control_api/coordination_schema.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
+from marshmallow import EXCLUDE, Schema, fields, validate
 from returns.result import Failure, Result, Success
 
 from fordtrestle.control_api.configuration import ValidationErrors
+from fordtrestle.control_api.json_body import check_object, is_storable, read_object
 from fordtrestle.coordination.commands import (
     AcquireLock,
     Command,
@@ -20,7 +20,6 @@
     RenewLock,
 )
 from fordtrestle.coordination.limits import MAX_HOLD_MS, MAX_NAME_CHARACTERS, MAX_VALUE_CHARACTERS
-from fordtrestle.settings.schema import flatten_errors
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_WAIT_MS = 60_000.0  # that a watch may be held
@@ -96,26 +95,18 @@
     )
 
 
-def check_name(name: str) -> Result[str, ValidationErrors]:
-    """Check the name in a path that has no body."""
-    return _check(_BodySchema(), name, {}).map(lambda _: name)
-
-
 def _load(schema: Schema, name: str, body: bytes) -> Result[dict[str, Any], ValidationErrors]:
-    try:
-        raw = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        return Failure(ValidationErrors((f"not JSON: {error}",)))
-    return _check(schema, name, raw)
+    return check_name(name).bind(lambda _: read_object(schema, body))
 
 
 def _check(schema: Schema, name: str, raw: Any) -> Result[dict[str, Any], ValidationErrors]:
+    return check_name(name).bind(lambda _: check_object(schema, raw))
+
+
+def check_name(name: str) -> Result[str, ValidationErrors]:
+    """Check the name in a path."""
     if len(name) > MAX_NAME_CHARACTERS:
         return Failure(ValidationErrors((f"a name has {MAX_NAME_CHARACTERS} characters at most",)))
-    if not isinstance(raw, dict):
-        return Failure(ValidationErrors(("expected a JSON object",)))
-    try:
-        data: dict[str, Any] = schema.load(raw)
-    except ValidationError as error:
-        return Failure(ValidationErrors(flatten_errors(error.messages)))
-    return Success(data)
+    if not is_storable(name):
+        return Failure(ValidationErrors(("a name holds a lone surrogate",)))
+    return Success(name)
--- a/fordtrestle/control_api/heartbeats.py
+++ b/fordtrestle/control_api/heartbeats.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
-from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
-from returns.result import Failure, Result, Success
+from marshmallow import EXCLUDE, Schema, fields, validate
+from returns.result import Result
 
 from fordtrestle.control_api.configuration import ValidationErrors
+from fordtrestle.control_api.json_body import read_object
 from fordtrestle.dissemination.catalog import Catalog
 from fordtrestle.dissemination.items import SERVER_PREFIX, Item, Phase, ServerRecord, server_item
-from fordtrestle.settings.schema import flatten_errors
 
 # A longer body is refused; heartbeats take some hundred bytes.
 MAX_HEARTBEAT_BYTES = 4096
@@ -71,16 +70,9 @@
     Returns:
         The heartbeat, or all that is wrong with it.
     """
-    try:
-        raw = json.loads(body)
-        if not isinstance(raw, dict):
-            return Failure(ValidationErrors(("expected a JSON object",)))
-        data: Mapping[str, Any] = _HeartbeatSchema().load(raw)
-    except ValidationError as error:
-        return Failure(ValidationErrors(flatten_errors(error.messages)))
-    except (ValueError, RecursionError) as error:
-        return Failure(ValidationErrors((f"not JSON: {error}",)))
-    return Success(ServerHeartbeat(_record_of(instance, data, heard_by), data["sequence"]))
+    return read_object(_HeartbeatSchema(), body).map(
+        lambda data: ServerHeartbeat(_record_of(instance, data, heard_by), data["sequence"])
+    )
 
 
 def _record_of(instance: str, data: Mapping[str, Any], heard_by: str) -> ServerRecord:
--- a/fordtrestle/control_api/watches.py
+++ b/fordtrestle/control_api/watches.py
@@ -30,14 +30,18 @@
 class WatchService:
     """Holds watches until there are events for them."""
 
-    def __init__(self, replicator: Replicator, read_index: SharedReadIndex) -> None:
+    def __init__(
+        self, replicator: Replicator, read_index: SharedReadIndex, max_watches: int = MAX_WATCHES
+    ) -> None:
         """Begin with no watch.
 
         Args:
             replicator: Drives this store.
             read_index: Asks how far acknowledged writes go.
+            max_watches: How many are held at a time.
         """
         self.held = 0  # watches
+        self._max_watches = max_watches
         self._replicator = replicator
         self._node = replicator.node
         self._now = replicator.now
@@ -59,7 +63,7 @@
             The events; none once the time is over. `Unavailable` where this store can't be sure that there is
             none, or ends.
         """
-        if self.held >= MAX_WATCHES:
+        if self.held >= self._max_watches:
             return Overloaded()
         self.held += 1
         try:
--- a/fordtrestle/roles/control_process.py
+++ b/fordtrestle/roles/control_process.py
@@ -20,7 +20,7 @@
 from fordtrestle.control_api.http import ControlApi
 from fordtrestle.control_api.outliers import OutlierDetector
 from fordtrestle.control_api.read_index import SharedReadIndex
-from fordtrestle.control_api.watches import WatchService
+from fordtrestle.control_api.watches import MAX_WATCHES, WatchService
 from fordtrestle.control_api.withdrawals import WithdrawalConfirmer
 from fordtrestle.coordination.calls import CoordinationCall, CoordinationReply
 from fordtrestle.coordination.limits import HISTORY_MARGIN_S
@@ -97,7 +97,8 @@
         self.coordination = self._make_coordination(boot)
         self.router = CoordinationRouter(self.coordination, self.node, self.process.mesh)
         read_index = SharedReadIndex(self.router.call, self.replicator.now)
-        self.watches = WatchService(self.replicator, read_index)
+        max_watches = min(MAX_WATCHES, boot.max_fds // 2)  # each has a connection, other callers need some
+        self.watches = WatchService(self.replicator, read_index, max_watches)
         self._event_log = EventLog(self.node.events)
         self._published = NOTHING_PUBLISHED
         self._logged_epoch = NOTHING_LOGGED
--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -11,6 +11,7 @@
 import random
 
 import aiohttp
+from yarl import URL
 
 from fordtrestle.control_api.commands import CommandHandler
 from fordtrestle.control_api.coordination_http import CoordinationApi
@@ -307,7 +308,7 @@
 
 @loopback
 async def test_text_that_cannot_be_stored_is_refused_and_the_process_serves_on(tmp_path):
-    """A lone surrogate is JSON, and no UTF-8: the record of it could not be written, which ended the process."""
+    """A lone surrogate is JSON and no UTF-8: the record of it could not be written, which ended the process."""
     lone = '"\\ud800"'
     calls = (
         ("POST", "/v1/cells/g.k/put", f'{{"value": {lone}}}'),
@@ -320,5 +321,7 @@
         for method, path, body in calls:
             async with session.request(method, url + path, data=body) as answer:
                 assert (path, answer.status) == (path, 400)
-        async with session.post(f"{url}/v1/numbers/n-1", data="{}") as answer:
-            assert answer.status == 200
+        for name in ("%ED%A0%80", "%FF", "n-1"):  # what is no UTF-8 in a path is a name as it stands
+            path = f"{url}/v1/numbers/{name}"
+            async with session.post(URL(path, encoded=True), data="{}") as answer:
+                assert answer.status == 200
--- a/tests/control_api/test_watches.py
+++ b/tests/control_api/test_watches.py
@@ -37,12 +37,12 @@
 class Stage:
     """A follower that holds watches, and a primary whose read index can be cut off."""
 
-    def __init__(self):
+    def __init__(self, max_watches=watches_module.MAX_WATCHES):
         self.core = ServingCore()
         self.is_cut_off = False
         self.reads = 0
         replicator = LoopReplicator(self.core, self.core.b)
-        self.watches = WatchService(replicator, SharedReadIndex(self.call, replicator.now))
+        self.watches = WatchService(replicator, SharedReadIndex(self.call, replicator.now), max_watches)
 
     async def call(self, command, deadline):
         assert command == ReadIndex()
@@ -125,9 +125,8 @@
 
 
 @virtual
-async def test_many_watches_share_one_read_index_and_their_number_is_bounded(monkeypatch):
-    monkeypatch.setattr(watches_module, "MAX_WATCHES", 50)
-    stage = Stage()
+async def test_many_watches_share_one_read_index_and_their_number_is_bounded():
+    stage = Stage(max_watches=50)
     stage.put("g.a", "1")
     held = [stage.watch(1, wait_s=1.0) for _ in range(50)]
     await asyncio.sleep(0)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -336,6 +336,24 @@
         " and self._now() - newest.began_at <= lag_s",
         "",
     ),
+    "text that cannot be stored is refused": _removal(
+        "control_api/json_body.py",
+        CONTROL_API_TESTS + "/test_exchanges.py",
+        "    if not is_storable(raw):\n",
+        "    if False:\n",
+    ),
+    "commands that are forwarded are bounded": _removal(
+        "control_api/coordination_router.py",
+        CONTROL_API_TESTS + "/test_coordination_router.py",
+        "        if len(self._replies) >= MAX_FORWARDED:\n",
+        "        if False:\n",
+    ),
+    "open calls are answered before an endpoint closes": _removal(
+        "control_api/open_calls.py",
+        CONTROL_API_TESTS + "/test_open_calls.py",
+        "        while self._count:\n",
+        "        while False:\n",
+    ),
     "a watch that finds nothing is confirmed": _removal(
         "control_api/watches.py",
         "tests/control_api/test_watches.py",
@@ -345,7 +363,7 @@
     "watches that are held are bounded": _removal(
         "control_api/watches.py",
         "tests/control_api/test_watches.py",
-        "        if self.held >= MAX_WATCHES:\n",
+        "        if self.held >= self._max_watches:\n",
         "        if False:\n",
     ),
     "a file of an older format is rewritten before anything is appended": _removal(
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -254,6 +254,7 @@
     "control_api/evaluation.py",
     "control_api/heartbeats.py",
     "control_api/http.py",
+    "control_api/json_body.py",
     "control_api/leadership_confirmation.py",
     "control_api/open_calls.py",
     "control_api/outliers.py",
