--- a/tests/control_api/test_exchanges.py
+++ b/tests/control_api/test_exchanges.py
@@ -308,7 +308,7 @@
 
 @loopback
 async def test_text_that_cannot_be_stored_is_refused_and_the_process_serves_on(tmp_path):
-    """A lone surrogate is JSON and no UTF-8: the record of it could not be written, which ended the process."""
+    """A lone surrogate is JSON and no UTF-8: its record could not be written, which ended the process."""
     lone = '"\\ud800"'
     calls = (
         ("POST", "/v1/cells/g.k/put", f'{{"value": {lone}}}'),
