A request that may have run runs again only if all routes since its arrival allow it

Callers saw a request run twice (TWICE): each step of a request matched the route anew, while the permission to run again was asked of the route of the first send. A change that made the route, or a more specific one, unsafe while a server had the request did not end that permission; a smaller max_attempts did not count either.

The router, which decides each send, now asks for the permission itself, of all routes that have applied to the request since it arrived: the route of each step, and that of each configuration that becomes active while the request is open, so that one that is unsafe only for a moment counts too. The handler no longer decides on a route of its own.

Three new guards are each found by these tests.

--- a/fordtrestle/ingress/request_handler.py
+++ b/fordtrestle/ingress/request_handler.py
@@ -65,13 +65,17 @@
             The final response. A streaming response has already been written.
         """
         try:
-            while True:
-                response = await self._step()
-                if response is not None:
-                    return response
+            with self._context.router.track(self._metadata, self._attempts):
+                return await self._run_steps()
         finally:
             self._sender.release()
 
+    async def _run_steps(self) -> web.StreamResponse:
+        while True:
+            response = await self._step()
+            if response is not None:
+                return response
+
     async def _step(self) -> web.StreamResponse | None:
         """Execute the router's next decision; return `None` if the router must decide again."""
         now = asyncio.get_running_loop().time()
@@ -95,7 +99,7 @@
             case Answered(response):
                 return await self._on_answer(send, response)
             case RejectedByServer():
-                can_retry = attempts.can_retry_rejected(route)
+                can_retry = not attempts.has_exhausted_sends()
                 return None if can_retry else self._reject_on_route(route, "the servers are full")
             case ConnectFailed():
                 can_retry = not attempts.has_exhausted_connects()
@@ -103,27 +107,25 @@
             case NotSent():
                 return self._reject_on_route(route, "the time is up")
             case ConnectionBroken():
-                return None if attempts.can_run_again(route) else responses.connection_broken(request_id)
+                return None
             case DeadlineExceeded():
                 return responses.deadline_exceeded(request_id)
 
     async def _on_answer(self, send: SendTo, response: aiohttp.ClientResponse) -> web.StreamResponse | None:
         """Relay a response, or retry at another server first if the server failed the request."""
-        if response.status in FAILURE_STATUSES and (retry := self._find_retry(send.route)):
+        if response.status in FAILURE_STATUSES and (retry := self._find_retry()):
             release_connection(response)
             return await self._send(retry)
         if is_short(response, send.route):
             return await self._relay_complete(send, response)
         return await self._relay_stream(send, response)
 
-    def _find_retry(self, route: Route) -> SendTo | None:
+    def _find_retry(self) -> SendTo | None:
         """Return the retry of a request that a server ran and failed; `None` if there is none.
 
         This is decided before the failed response is discarded: if no other server can accept the request,
         the client receives the failed response.
         """
-        if not self._attempts.can_run_again(route):
-            return None
         now = asyncio.get_running_loop().time()
         decision = self._context.router.next_step(self._metadata, self._attempts, now)
         return decision if isinstance(decision, SendTo) else None
@@ -131,7 +133,7 @@
     async def _relay_complete(
         self, send: SendTo, response: aiohttp.ClientResponse
     ) -> web.StreamResponse | None:
-        """Relay a short response; return `None` if it broke off and the request may be retried."""
+        """Relay a short response; return `None` if it broke off and the router must decide again."""
         request_id = self._inbound.request_id
         result = await relay_complete(response, send.deadline)
         if isinstance(result, web.Response):
@@ -140,8 +142,7 @@
         if result is RelayResult.DEADLINE_EXCEEDED:
             return responses.deadline_exceeded(request_id)
         self._recorder.record_broken_body(send.server)
-        can_retry = self._attempts.can_run_again(send.route)
-        return None if can_retry else responses.connection_broken(request_id)
+        return None
 
     async def _relay_stream(self, send: SendTo, response: aiohttp.ClientResponse) -> web.StreamResponse:
         """Relay a stream, which another server continues if it breaks off and is resumable.
--- a/fordtrestle/routing/request_attempts.py
+++ b/fordtrestle/routing/request_attempts.py
@@ -1,7 +1,12 @@
-"""Tracks the attempts of one request and decides which further attempts are allowed. Pure."""
+"""Tracks the attempts of one request and decides which further attempts are allowed. Pure.
+
+A configuration may change while a request is open. A request that may have run is run again only if every
+route that has applied to it since its arrival allows that.
+"""
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from fordtrestle.routing.common import InstanceId
@@ -11,7 +16,7 @@
 MAX_CONNECT_FAILURES = 4  # unreachable servers per request before it is rejected
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestAttempts:
     """Counts the attempts of one request.
 
@@ -26,6 +31,8 @@
         is_admitted: Whether admission control has admitted the request; it is consulted only until then.
         may_have_run: Whether a server may have run the request without its response being forwarded. If so,
             the client must not receive a response that guarantees that the request has not run.
+        is_idempotent: Whether every route that has applied to the request allows it to run more than once.
+        max_runs: The smallest `max_attempts` of these routes.
     """
 
     tried: set[InstanceId] = field(default_factory=set)
@@ -34,6 +41,13 @@
     connect_failures: int = 0
     is_admitted: bool = False
     may_have_run: bool = False
+    is_idempotent: bool = True
+    max_runs: float = math.inf
+
+    def restrict(self, route: Route) -> None:
+        """Apply the restrictions of a route that applies to the request while it is open."""
+        self.is_idempotent = self.is_idempotent and route.is_idempotent
+        self.max_runs = min(self.max_runs, route.max_attempts)
 
     def record_send(self, instance: InstanceId, rejected: bool) -> None:
         """Count a send, which is also a run unless the server rejected it."""
@@ -42,13 +56,15 @@
         if not rejected:
             self.runs += 1
 
-    def can_retry_rejected(self, route: Route) -> bool:
-        """Return whether the request may be sent to another server after a rejection."""
-        return self.runs < route.max_attempts and self.sends < MAX_SENDS
+    def can_run(self) -> bool:
+        """Return whether the request may be sent to a server that runs it."""
+        if self.runs == 0:
+            return True
+        return self.is_idempotent and self.runs < self.max_runs
 
-    def can_run_again(self, route: Route) -> bool:
-        """Return whether the request may be sent to another server although one may have run it."""
-        return route.is_idempotent and self.runs < route.max_attempts
+    def has_exhausted_sends(self) -> bool:
+        """Return whether the request has been sent `MAX_SENDS` times."""
+        return self.sends >= MAX_SENDS
 
     def has_exhausted_connects(self) -> bool:
         """Return whether `MAX_CONNECT_FAILURES` servers could not be reached."""
--- a/fordtrestle/routing/router.py
+++ b/fordtrestle/routing/router.py
@@ -1,11 +1,14 @@
 """Decides the next step of a request. Pure.
 
 Each step evaluates the route, home regions, admission, servers and budgets anew, so that the decision for a
-request that has waited is based on the current state.
+request that has waited is based on the current state. Whether a request may run again depends on all
+configurations that were active while it was open (`RequestAttempts`).
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from fordtrestle.admission.admission_control import AdmissionControl
@@ -16,6 +19,7 @@
 from fordtrestle.routing.outcome_reporter import OutcomeReporter
 from fordtrestle.routing.request_attempts import RequestAttempts
 from fordtrestle.routing.route import Route
+from fordtrestle.routing.route_table import RouteTable
 from fordtrestle.routing.server import Server
 from fordtrestle.routing.server_selector import ServerSelector
 from fordtrestle.routing.view import View
@@ -52,13 +56,28 @@
     draw: Draw
     drain_policy: DrainPolicy = field(default_factory=DrainPolicy)
     reporter: OutcomeReporter = field(default_factory=OutcomeReporter)
+    _open_requests: dict[RequestAttempts, RequestMetadata] = field(default_factory=dict, init=False)
+
+    def __post_init__(self) -> None:
+        """Follow the activation of configurations."""
+        self.view.on_activated = self._restrict_open_requests
+
+    @contextmanager
+    def track(self, request: RequestMetadata, attempts: RequestAttempts) -> Iterator[None]:
+        """Restrict the attempts of a request by each configuration that becomes active within the block."""
+        self._open_requests[attempts] = request
+        try:
+            yield
+        finally:
+            del self._open_requests[attempts]
 
     def next_step(self, request: RequestMetadata, attempts: RequestAttempts, now: float) -> Decision:
         """Decide the next step of a request.
 
         Args:
             request: The request.
-            attempts: Its attempts so far; updated when admission control admits the request.
+            attempts: Its attempts so far; restricted by the route, and updated when admission control admits
+                the request.
             now: Seconds of the loop's clock.
         """
         table = self.view.table
@@ -68,6 +87,9 @@
         route = table.match(request.host, request.path)
         if route is None:
             return UnknownRoute()
+        attempts.restrict(route)
+        if not attempts.can_run():
+            return Reject(route.latency_target_s, "it may have run")
         if not self.drain_policy.accepts(route.route_type, request.prompt.tokens_out, request.arrived_at):
             return Reject(DRAINING_RETRY_SCALE_S, "this sidecar ends")
         deadline = request.arrived_at + request.timeout_s(route.timeout_s)
@@ -91,7 +113,10 @@
         """
         table = self.view.table
         route = table.match(request.host, request.path) if table else None
-        if route is None or not route.is_resumable or attempts.runs >= route.max_attempts:
+        if route is None or not route.is_resumable:
+            return None
+        attempts.restrict(route)
+        if not attempts.can_run():
             return None
         if attempts.has_exhausted_connects() or now >= deadline:
             return None
@@ -110,6 +135,12 @@
         self.reporter.record(server.record.service, server.instance, failed, now)
         return self.view.servers.record_outcome(server, failed, now)
 
+    def _restrict_open_requests(self, table: RouteTable) -> None:
+        for attempts, request in self._open_requests.items():
+            route = table.match(request.host, request.path)
+            if route is not None:
+                attempts.restrict(route)
+
     def _next_send(
         self,
         route: Route,
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator, Iterable, Mapping
+from collections.abc import Callable, Generator, Iterable, Mapping
 
 from fordtrestle.dissemination.items import (
     Availability,
@@ -48,6 +48,7 @@
         servers: All servers.
         sidecars: The names of all sidecars that share the fleet's budgets, including those that have been
             down for at most `DOWN_RETENTION_S`.
+        on_activated: Called with the route table of each configuration that becomes active.
     """
 
     def __init__(self, zones: Mapping[ZoneName, RegionName], heartbeat_s: float, started_at: float) -> None:
@@ -65,6 +66,7 @@
         self.evacuated_zones: frozenset[ZoneName] = frozenset()
         self.servers = ServerTable(zones)
         self.sidecars: set[NodeName] = set()
+        self.on_activated: Callable[[RouteTable], None] = lambda table: None
         self._down_since: dict[NodeName, float] = {}
         self._pending_control: ControlView | None = None  # the newest long configuration
         self._parse: _ParseInProgress | None = None
@@ -150,3 +152,4 @@
     def _activate(self, control: ControlView, table: RouteTable) -> None:
         self.table = table
         self.generation = control.generation
+        self.on_activated(table)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -46,6 +46,7 @@
 COORDINATION_KEYS = "tests/coordination/test_keys.py"
 COORDINATION_CASES = "tests/coordination/test_hard_cases.py"
 ENDS = "tests/ingress/test_ends.py"
+ROUTE_CHANGES = "tests/ingress/test_route_changes.py"
 INGRESS_SERVER, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
 DIRECTORY = "tests/ingress/test_directory.py"
 SIGNALS = "tests/roles/test_signals.py"
@@ -569,7 +570,7 @@
     "only idempotent requests are retried after a run": _removal(
         "routing/request_attempts.py",
         ENDS,
-        "        return route.is_idempotent and self.runs",
+        "        return self.is_idempotent and self.runs",
         "        return self.runs",
     ),
     "a response that broke off counts as a failure of its server": _removal(
@@ -643,8 +644,24 @@
     "no request is run by more servers than allowed": _removal(
         "routing/request_attempts.py",
         "tests/ingress",
-        "return route.is_idempotent and self.runs < route.max_attempts",
-        "return route.is_idempotent",
+        "return self.is_idempotent and self.runs < self.max_runs",
+        "return self.is_idempotent",
+    ),
+    "a request runs again only if the route of now allows it": _removal(
+        "routing/router.py",
+        ROUTE_CHANGES,
+        "        attempts.restrict(route)\n        if not attempts.can_run():\n            return Reject(",
+        "        if False:\n            return Reject(",
+    ),
+    "a stream is continued only if the route of now allows it": _removal(
+        "routing/router.py",
+        ROUTE_CHANGES,
+        "        attempts.restrict(route)\n        if not attempts.can_run():\n            return None\n",
+    ),
+    "an open request is restricted by each configuration": _removal(
+        "routing/router.py",
+        ROUTE_CHANGES,
+        "        self.view.on_activated = self._restrict_open_requests\n",
     ),
     "a version of the catalog never goes back": _removal(
         "dissemination/catalog.py",
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -39,15 +39,22 @@
 
 def make_router(servers=("i-1",), route=ROUTE, allowance=50.0, draw=0.5, **fields):
     view = View({"z": "r"}, heartbeat_s=1.0, started_at=0.0)
-    if route:
-        document = {"generation": 1, "routes": [route], "services": [{"name": "pool"}]}
-        view.apply([control_item(ControlView(1, 1, json.dumps(document).encode(), ()))], NOW)
     for name in servers:
         record = ServerRecord(name, "pool", f"{name}:1", "z", 4, Phase.SERVING, False, 0.0, None, (), "c")
         view.apply([server_item(record, 1)], NOW)
     selector = ServerSelector(view, WarmUpBudget(1.5, 5.0, "f"), "z", "r", lambda: draw, lambda region: None)
     retries = RetryBudget(0.0, allowance, 10.0)
-    return Router(view, AdmissionControl(lambda: draw), retries, selector, lambda: draw, **fields)
+    router = Router(view, AdmissionControl(lambda: draw), retries, selector, lambda: draw, **fields)
+    if route:
+        activate(router, 1, route)
+    return router
+
+
+def activate(router, sequence, route):
+    """Activate a configuration with one route."""
+    document = {"generation": sequence, "routes": [route], "services": [{"name": "pool"}]}
+    view = ControlView(sequence, sequence, json.dumps(document).encode(), ())
+    router.view.apply([control_item(view)], NOW)
 
 
 def next_step(router, request=REQUEST, attempts=None, now=NOW):
@@ -122,13 +129,39 @@
 def test_more_attempts_are_allowed_after_rejections_than_after_runs():
     route = make_router().view.table.match(HOST, "/a/")
     attempts = RequestAttempts()
+    attempts.restrict(route)
     for number in range(3):
         attempts.record_send(f"i-{number}", rejected=True)
-        assert attempts.can_retry_rejected(route)
-        assert attempts.can_run_again(route)
+        assert not attempts.has_exhausted_sends()
+        assert attempts.can_run()
     attempts.record_send("i-4", rejected=True)
-    assert not attempts.can_retry_rejected(route), "at most four sends"
-    run_once, run_twice = RequestAttempts(runs=1), RequestAttempts(runs=2)
-    assert run_once.can_run_again(route)
-    assert not run_twice.can_run_again(route)
-    assert not run_once.can_run_again(replace(route, is_resumable=False)), "it may have run"
+    assert attempts.has_exhausted_sends(), "at most four sends"
+    for runs, restrictions, can_run in (
+        (1, [route], True),
+        (2, [route], False),
+        (1, [replace(route, is_resumable=False)], False),
+        (1, [route, replace(route, is_resumable=False)], False),
+        (1, [replace(route, is_resumable=False), route], False),
+        (1, [replace(route, max_attempts=1), route], False),
+        (0, [replace(route, is_resumable=False)], True),
+    ):
+        attempts = RequestAttempts(runs=runs)
+        for restriction in restrictions:
+            attempts.restrict(restriction)
+        assert attempts.can_run() is can_run, (runs, restrictions)
+
+
+def test_a_request_that_has_run_as_often_as_allowed_is_not_sent():
+    attempts = RequestAttempts(runs=2, sends=2, is_admitted=True)
+    assert next_step(make_router(("i-1", "i-2")), attempts=attempts) == Reject(0.4, "it may have run")
+
+
+def test_open_requests_are_restricted_by_configurations_that_become_active_and_closed_ones_are_forgotten():
+    router, open_attempts, closed = make_router(), RequestAttempts(runs=1), RequestAttempts(runs=1)
+    with router.track(REQUEST, closed):
+        pass
+    with router.track(REQUEST, open_attempts):
+        for sequence, route_type in enumerate(("unsafe", "safe"), start=2):
+            activate(router, sequence, {**ROUTE, "route_type": route_type})
+        activate(router, 4, {**ROUTE, "path_prefix": "/b/"})
+    assert (open_attempts.can_run(), closed.can_run()) == (False, True)
