Soak: servers that fail, freeze and are replaced, and changes of routes' rules (--storm)

The soak could hardly have seen TWICE: its servers served each request, none died or gave its address away, and no change touched a route's type, prefix or attempts. All of it overlaps with the rolls, kills, freezes and evacuations of before. A run is judged by the configurations that may be active at each moment since its request was sent; new checks: BUDGET (more runs than attempts), MIXED (another request's answer).

Not part of it: delayed or cut links between processes, for which loopback has no means without privileges; a frozen process or server stands for them.

--- a/rig/system/soak/record.py
+++ b/rig/system/soak/record.py
@@ -6,6 +6,7 @@
 
 from rig.coordination.history import Call
 from rig.system.model_server import Run
+from rig.system.soak.route_changes import ConfigurationVersion
 
 # Times are s of the monotonic clock.
 
@@ -34,6 +35,12 @@
     ended: float = 0.0
     status: int = 0  # 0: no response head was received
     is_complete: bool = False
+    answered_id: str = ""  # the request id in the head of the response
+
+    @property
+    def path(self) -> str:
+        """The path of the request."""
+        return f"{self.kind.path}x/1"
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,3 +91,5 @@
     changes: int = 0  # acknowledged
     calls: list[Call] = field(default_factory=list)  # of locks, numbers, keys and watches
     unanswered: list[str] = field(default_factory=list)  # final calls without a clear answer
+    versions: list[ConfigurationVersion] = field(default_factory=list)  # sent, in order of generation
+    has_server_faults: bool = False
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -22,11 +22,17 @@
     EVACUATE = "a zone is emptied and taken back after a while"
     UPDATE = "a roll to the next version of the program"
     REVERT = "a roll back to this version"
+    SERVER_CRASH = "a model server ends, and another comes to its address after a while"
+    SERVER_REUSE = "a model server ends, and one of another service has its address for a while"
+    SERVER_FREEZE = "a model server stops answering for a while"
 
 
 UPDATES = frozenset({Action.UPDATE, Action.REVERT})  # planned too, but drawn only by `draw_update`
 PLANNED = frozenset({Action.ROLL, Action.HUP, Action.CHANGE, Action.EVACUATE})
 MACHINE_ACTIONS = UPDATES | {Action.ROLL, Action.HUP, Action.KILL, Action.FREEZE}
+SERVER_ACTIONS = (Action.SERVER_CRASH, Action.SERVER_REUSE, Action.SERVER_FREEZE)
+SERVER_FAULT_S = (0.5, 4.0)  # how long a server is away or frozen
+LONG_FREEZE_S = (2.0, 6.0)  # of a sidecar: longer than a change may take to be active
 UPDATE_GAP_S = 1.5  # between the updates of two machines
 
 
@@ -84,6 +90,39 @@
     return Schedule(seed, duration_s, planned_only, tuple(ordered))
 
 
+def draw_storm(
+    seed: int,
+    duration_s: float,
+    sidecars: list[str],
+    controls: list[str],
+    regions: list[str],
+    servers: list[str],
+) -> Schedule:
+    """Draw a schedule with failures of all kinds, which overlap: those of `draw`, and those of servers.
+
+    Args:
+        seed: Seed of the random source.
+        duration_s: The duration of the play.
+        sidecars: Names of the sidecars.
+        controls: Names of the control processes.
+        regions: Names of the regions.
+        servers: Names of the model servers.
+    """
+    rng = random.Random(f"storm {seed}")
+    even_seed = 2 * seed  # with failures
+    steps = list(draw(even_seed, duration_s, sidecars, controls, regions).steps)
+    until = duration_s - SETTLE_S
+    for at in _draw_times(rng, until, 1.0, 4.0):
+        action = rng.choice(SERVER_ACTIONS)
+        steps.append(Step(at, action, rng.choice(servers), rng.uniform(*SERVER_FAULT_S)))
+    steps += [
+        Step(at, Action.FREEZE, rng.choice(sidecars), rng.uniform(*LONG_FREEZE_S))
+        for at in _draw_times(rng, until, 3.0, 8.0)
+    ]
+    ordered = sorted((step for step in steps if step.at < until), key=lambda step: step.at)
+    return Schedule(seed, duration_s, False, tuple(ordered))
+
+
 def draw_update(seed: int, sidecars: list[str], controls: list[str], with_versions: bool = True) -> Schedule:
     """Draw a schedule that updates all machines one by one and then reverts them, with configuration changes.
 
--- /dev/null
+++ b/rig/system/soak/servers.py
@@ -0,0 +1,118 @@
+"""The model servers of a play: they fail requests, crash, freeze, and give their addresses away."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from rig.system.deployment import REGIONS, Deployment
+from rig.system.fleet import SERVERS_PER_REGION, SERVICE, make_server
+from rig.system.model_server import ModelServer, Run
+from rig.system.server_faults import NO_FAULTS, FaultSource
+from rig.system.soak.schedule import Action, Step
+
+OTHER_SERVICE = "others"  # has no route
+
+
+@dataclass(frozen=True, slots=True)
+class ServerFaults:
+    """How the servers of a play fail requests.
+
+    Attributes:
+        share: The share of requests that meet a fault.
+        max_hold_s: The longest time for which a request is held before its fault.
+    """
+
+    share: float
+    max_hold_s: float
+
+
+STORM_FAULTS = ServerFaults(share=0.25, max_hold_s=6.0)
+
+
+def server_names() -> list[str]:
+    """Return the names of all servers of a play."""
+    return [f"{region}/{number}" for region in REGIONS for number in range(SERVERS_PER_REGION)]
+
+
+class Servers:
+    """All model servers of a play, by name."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        on_run: Callable[[Run], None],
+        rng: random.Random,
+        faults: ServerFaults | None,
+    ) -> None:
+        """Create the servers.
+
+        Args:
+            deployment: The deployment whose control processes receive the heartbeats.
+            on_run: Called with each request that a server begins to process.
+            rng: Random source for faults.
+            faults: How the servers fail requests; `None` if they do not.
+        """
+        self._deployment = deployment
+        self._on_run = on_run
+        self._source = FaultSource(rng, faults.share, faults.max_hold_s) if faults else NO_FAULTS
+        self._starts = 0
+        self._servers = {name: self._make(name, SERVICE) for name in server_names()}
+        self._busy: set[str] = set()  # servers with a step in progress
+
+    async def start(self) -> None:
+        """Start all servers."""
+        for server in self._servers.values():
+            await server.start()
+
+    async def stop(self) -> None:
+        """Stop all servers."""
+        for server in self._servers.values():
+            await server.crash()
+
+    async def execute(self, step: Step) -> None:
+        """Execute a step on a server; skip it if another one is in progress there."""
+        if step.target in self._busy:
+            return
+        self._busy.add(step.target)
+        try:
+            if step.action is Action.SERVER_FREEZE:
+                await self._freeze(step)
+            else:
+                await self._replace(step)
+        finally:
+            self._busy.discard(step.target)
+
+    async def _freeze(self, step: Step) -> None:
+        server = self._servers[step.target]
+        server.freeze()
+        await asyncio.sleep(step.for_s)
+        server.thaw()
+
+    async def _replace(self, step: Step) -> None:
+        """Let a server crash, and another incarnation return to its address after a while."""
+        await self._servers[step.target].crash()
+        if step.action is Action.SERVER_REUSE:
+            await self._put(step.target, OTHER_SERVICE)
+            await asyncio.sleep(step.for_s)
+            await self._servers[step.target].crash()
+        else:
+            await asyncio.sleep(step.for_s)
+        await self._put(step.target, SERVICE)
+
+    async def _put(self, name: str, service: str) -> None:
+        self._servers[name] = self._make(name, service)
+        await self._servers[name].start()
+
+    def _make(self, name: str, service: str) -> ModelServer:
+        region, _, number = name.partition("/")
+        self._starts += 1
+        suffix = f"{number}-{self._starts}"
+        return make_server(self._deployment, region, int(number), suffix, self._on_run, self._source, service)
+
+
+def faulty_runs(runs: Iterable[Run]) -> int:
+    """Return the number of runs that a server failed."""
+    return sum(bool(run.fault) for run in runs)
