No request runs again by a configuration that may have been replaced

Callers saw a stream run twice (TWICE) whose route had not been resumable for 3 s: its sidecar stood still for 4.2 s while its server broke off and the route changed.

A sidecar now runs a request again only while it can trust its configuration: it has not stood still for over a second within the last two, which it notices by its own clock, and has had a link to a control process within the last second. Otherwise the client gets 502 or a stream that breaks off, as for any request that may not run again. First sends are not affected.

Still open: a sidecar whose only links lead to control processes that are cut off from the primary.

--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -26,6 +26,7 @@
 from fordtrestle.roles.monitored_nodes import MonitoredNodes
 from fordtrestle.roles.settings_watcher import SettingsWatcher
 from fordtrestle.roles.shutdown import ShutdownBudget
+from fordtrestle.roles.stall_monitor import StallMonitor
 from fordtrestle.settings.records import Address, BootSettings
 
 CONTROL_ROLE = "control"
@@ -51,6 +52,7 @@
         role: `CONTROL_ROLE` or `SIDECAR_ROLE`.
         rng: The random source of the process.
         shutdown_requested: Set by SIGTERM and SIGINT.
+        stalls: Detects that this process stood still.
         mesh: The links to other processes.
         gossip: Disseminates items over the links.
         on_items: Called with catalog items that are new here.
@@ -63,6 +65,7 @@
         self.role = role
         self.rng = random.Random(secrets.randbits(64))
         self.shutdown_requested = asyncio.Event()
+        self.stalls = StallMonitor()
         peer = peer_address(boot, boot.ip, role)
         hello = Hello(boot.node_name, peer, PROTOCOL_VERSION, OLDEST_PROTOCOL_VERSION)
         self.mesh = Mesh(hello, self._on_peer_message, self._on_link_up)
@@ -87,6 +90,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.shutdown_requested.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the file is polled anyway
+        self.stalls.start()
         await self.mesh.listen(Address.parse(self.gossip.me.peer))
         self.dial()
         self.announce(Availability.STARTING)
--- a/fordtrestle/roles/sidecar_process.py
+++ b/fordtrestle/roles/sidecar_process.py
@@ -23,6 +23,7 @@
 from fordtrestle.ingress.server import IngressLimits, IngressServer
 from fordtrestle.ingress.wait_queue import WaitQueue
 from fordtrestle.roles import metrics
+from fordtrestle.roles.control_contact import ControlContact
 from fordtrestle.roles.process import SIDECAR_ROLE, Process
 from fordtrestle.routing.outcome_reporter import REPORT_INTERVAL_S, OutcomeReporter
 from fordtrestle.routing.router import Router
@@ -46,6 +47,8 @@
         self.view = View(boot.zones, boot.heartbeat_s, asyncio.get_running_loop().time())
         bounds = boot.bounds
         self._warm_up_budget = WarmUpBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name)
+        self._control_contact = ControlContact(self._has_control_link)
+        self.process.stalls.on_tick = self._control_contact.refresh
         self.router = self._make_router(boot)
         self.forwarder = Forwarder()
         self._wait_queue = WaitQueue()
@@ -96,8 +99,16 @@
             retries=RetryBudget(bounds.retry_budget_ratio, bounds.retry_allowance, bounds.budget_window_s),
             selector=selector,
             draw=draw,
+            is_view_current=self._is_view_current,
         )
 
+    def _has_control_link(self) -> bool:
+        return any(self.process.is_control(link.peer) for link in self.process.mesh.links())
+
+    def _is_view_current(self, now: float) -> bool:
+        """Return whether this process has neither stood still nor been without contact to control."""
+        return self.process.stalls.has_recovered(now) and self._control_contact.is_recent(now)
+
     def _on_items(self, items: list[Item]) -> None:
         """Apply new items; a long configuration is parsed in a background task."""
         self.view.apply(items, asyncio.get_running_loop().time())
--- /dev/null
+++ b/fordtrestle/roles/stall_monitor.py
@@ -0,0 +1,57 @@
+"""Detects that this process stood still: frozen, suspended, or without processor time.
+
+What a process knew before it stood still may have been replaced meanwhile, and what reaches it together with
+its first turn afterwards may have been sent at any time since the last turn before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+TICK_INTERVAL_S = 0.25
+STALL_S = 1.0  # a longer time between two ticks is a stall
+RECOVERY_S = 2.0  # after a stall, until links are up again and have delivered what was missed
+
+
+class StallMonitor:
+    """Ticks on the event loop, and records the newest gap between two ticks that is a stall.
+
+    Times are seconds of the loop's clock.
+
+    Attributes:
+        on_tick: Called with the time of each tick.
+    """
+
+    def __init__(self) -> None:
+        """Create a monitor that has not ticked yet."""
+        self.on_tick: Callable[[float], None] = lambda now: None
+        self._ticked_at = float("inf")
+        self._stall_started_at = float("-inf")
+        self._stall_ended_at = float("-inf")
+
+    def start(self) -> None:
+        """Tick from now on, until the event loop is closed."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self.tick(now)
+        self.on_tick(now)
+        loop.call_later(TICK_INTERVAL_S, self.start)
+
+    def tick(self, now: float) -> None:
+        """Record that the process runs."""
+        if now - self._ticked_at > STALL_S:
+            self._stall_started_at, self._stall_ended_at = self._ticked_at, now
+        self._ticked_at = now
+
+    def has_recovered(self, now: float) -> bool:
+        """Return whether the process has not stood still within the last `RECOVERY_S`."""
+        return now - self._ticked_at <= STALL_S and now - self._stall_ended_at >= RECOVERY_S
+
+    def earliest_arrival(self, now: float) -> float:
+        """Return since when something that the process notices now may have been waiting for it."""
+        if now - self._ticked_at > STALL_S:
+            return self._ticked_at
+        if now - self._stall_ended_at <= TICK_INTERVAL_S:
+            return self._stall_started_at
+        return now
--- a/fordtrestle/routing/router.py
+++ b/fordtrestle/routing/router.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -47,6 +47,8 @@
         draw: The random source for weighted backends.
         drain_policy: Decides which requests are accepted during a shutdown.
         reporter: Collects outcomes for the control process that detects outliers.
+        is_view_current: Returns whether the view can be trusted to hold the newest configuration, up to the
+            time that a change may take to reach this sidecar. Otherwise no request runs again.
     """
 
     view: View
@@ -56,6 +58,7 @@
     draw: Draw
     drain_policy: DrainPolicy = field(default_factory=DrainPolicy)
     reporter: OutcomeReporter = field(default_factory=OutcomeReporter)
+    is_view_current: Callable[[float], bool] = lambda now: True
     _open_requests: dict[RequestAttempts, RequestMetadata] = field(default_factory=dict, init=False)
 
     def __post_init__(self) -> None:
@@ -88,7 +91,7 @@
         if route is None:
             return UnknownRoute()
         attempts.restrict(route)
-        if not attempts.can_run():
+        if not self._can_run(attempts, now):
             return Reject(route.latency_target_s, "it may have run")
         if not self.drain_policy.accepts(route.route_type, request.prompt.tokens_out, request.arrived_at):
             return Reject(DRAINING_RETRY_SCALE_S, "this sidecar ends")
@@ -116,7 +119,7 @@
         if route is None or not route.is_resumable:
             return None
         attempts.restrict(route)
-        if not attempts.can_run():
+        if not self._can_run(attempts, now):
             return None
         if attempts.has_exhausted_connects() or now >= deadline:
             return None
@@ -135,6 +138,10 @@
         self.reporter.record(server.record.service, server.instance, failed, now)
         return self.view.servers.record_outcome(server, failed, now)
 
+    def _can_run(self, attempts: RequestAttempts, now: float) -> bool:
+        """Return whether a request may run, by all routes so far; again only if the newest one is known."""
+        return attempts.can_run() and (attempts.runs == 0 or self.is_view_current(now))
+
     def _restrict_open_requests(self, table: RouteTable) -> None:
         for attempts, request in self._open_requests.items():
             route = table.match(request.host, request.path)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -650,13 +650,26 @@
     "a request runs again only if the route of now allows it": _removal(
         "routing/router.py",
         ROUTE_CHANGES,
-        "        attempts.restrict(route)\n        if not attempts.can_run():\n            return Reject(",
+        "        attempts.restrict(route)\n        if not self._can_run(attempts, now):\n"
+        "            return Reject(",
         "        if False:\n            return Reject(",
     ),
     "a stream is continued only if the route of now allows it": _removal(
         "routing/router.py",
         ROUTE_CHANGES,
-        "        attempts.restrict(route)\n        if not attempts.can_run():\n            return None\n",
+        "        attempts.restrict(route)\n        if not self._can_run(attempts, now):\n"
+        "            return None\n",
+    ),
+    "a request runs again only while the view is current": _removal(
+        "routing/router.py",
+        "tests/routing/test_router.py",
+        " and (attempts.runs == 0 or self.is_view_current(now))",
+    ),
+    "a view is not trusted after a stall": _removal(
+        "roles/stall_monitor.py",
+        "tests/roles/test_stall_monitor.py",
+        "return now - self._ticked_at <= STALL_S and now - self._stall_ended_at >= RECOVERY_S",
+        "return True",
     ),
     "an open request is restricted by each configuration": _removal(
         "routing/router.py",
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -156,6 +156,18 @@
     assert next_step(make_router(("i-1", "i-2")), attempts=attempts) == Reject(0.4, "it may have run")
 
 
+def test_a_request_runs_again_only_while_the_view_is_current():
+    current, outdated = (
+        make_router(("i-1", "i-2"), is_view_current=lambda now, c=c: c) for c in (True, False)
+    )
+    run_once = RequestAttempts(runs=1, sends=1, is_admitted=True, tried={"i-1"})
+    assert isinstance(next_step(current, attempts=run_once), SendTo)
+    assert next_step(outdated, attempts=run_once) == Reject(0.4, "it may have run")
+    assert current.resume(REQUEST, run_once, NOW, NOW + 4.0) is not None
+    assert outdated.resume(REQUEST, run_once, NOW, NOW + 4.0) is None
+    assert isinstance(next_step(outdated), SendTo), "a request that has not run is sent"
+
+
 def test_open_requests_are_restricted_by_configurations_that_become_active_and_closed_ones_are_forgotten():
     router, open_attempts, closed = make_router(), RequestAttempts(runs=1), RequestAttempts(runs=1)
     with router.track(REQUEST, closed):
