The grace period of a process that stood still counts from when it stopped

A signal that is noticed after a stall may have been sent at any time since the last turn before it, so the period counts from there. Its test fails without that (a guard takes it out).

--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -65,6 +65,7 @@
         self.role = role
         self.rng = random.Random(secrets.randbits(64))
         self.shutdown_requested = asyncio.Event()
+        self._shutdown_requested_at: float | None = None  # in seconds of the loop's clock
         self.stalls = StallMonitor()
         peer = peer_address(boot, boot.ip, role)
         hello = Hello(boot.node_name, peer, PROTOCOL_VERSION, OLDEST_PROTOCOL_VERSION)
@@ -88,7 +89,7 @@
         """
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self.shutdown_requested.set)
+            loop.add_signal_handler(signal_number, self._request_shutdown)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the file is polled anyway
         self.stalls.start()
         await self.mesh.listen(Address.parse(self.gossip.me.peer))
@@ -98,10 +99,13 @@
     def begin_shutdown(self) -> ShutdownBudget:
         """Start the grace period, and ignore further signals.
 
+        The platform's period began when it sent the signal, which may have been while this process stood
+        still.
+
         A second SIGTERM must not cut the shutdown short. The handlers are removed first: closing the
         loop would restore the default action of their signals, which ends the process with another exit code.
         """
-        budget = ShutdownBudget(self.boot.bounds.grace_s)
+        budget = ShutdownBudget(self.boot.bounds.grace_s, self._shutdown_requested_at)
         budget.start_watchdog()
         loop = asyncio.get_running_loop()
         for signal_number in _SIGNALS:
@@ -109,6 +113,11 @@
             signal.signal(signal_number, signal.SIG_IGN)
         return budget
 
+    def _request_shutdown(self) -> None:
+        if self._shutdown_requested_at is None:
+            self._shutdown_requested_at = self.stalls.earliest_arrival(asyncio.get_running_loop().time())
+        self.shutdown_requested.set()
+
     def announce(self, availability: Availability) -> None:
         """Publish the availability of this process to all others."""
         self.gossip.announce(replace(self.gossip.me, availability=availability))
--- a/fordtrestle/roles/shutdown.py
+++ b/fordtrestle/roles/shutdown.py
@@ -27,14 +27,16 @@
         exit_at: When the process has to exit, in seconds, loop clock.
     """
 
-    def __init__(self, grace_s: float) -> None:
-        """Start the grace period now.
+    def __init__(self, grace_s: float, started_at: float | None = None) -> None:
+        """Start the grace period.
 
         Args:
             grace_s: The platform's grace period, in seconds.
+            started_at: The earliest time at which it may have begun, in seconds of the loop's clock; `None`
+                if it begins now.
         """
         self._loop = asyncio.get_running_loop()
-        self.started_at = self._loop.time()
+        self.started_at = self._loop.time() if started_at is None else started_at
         self.exit_at = self.started_at + max(MIN_STEP_S, grace_s - EXIT_MARGIN_S)
 
     def remaining_s(self) -> float:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -671,6 +671,12 @@
         "return now - self._ticked_at <= STALL_S and now - self._stall_ended_at >= RECOVERY_S",
         "return True",
     ),
+    "the grace period counts from the stall that a signal may have waited for": _removal(
+        "roles/process.py",
+        "tests/roles/test_stall_monitor.py",
+        "self.stalls.earliest_arrival(asyncio.get_running_loop().time())",
+        "asyncio.get_running_loop().time()",
+    ),
     "an open request is restricted by each configuration": _removal(
         "routing/router.py",
         ROUTE_CHANGES,
--- a/tests/roles/test_stall_monitor.py
+++ b/tests/roles/test_stall_monitor.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from fordtrestle.roles.control_contact import ControlContact
+from fordtrestle.roles.process import Process
+from fordtrestle.roles.shutdown import ShutdownBudget
 from fordtrestle.roles.stall_monitor import RECOVERY_S, StallMonitor
+from fordtrestle.settings.boot import parse_settings
+from tests.exchanges import loopback
+from tests.settings.test_boot import BOOT
 
 FROZEN_AT, THAWED_AT = 10.0, 14.0
 
@@ -42,3 +49,21 @@
     contact.refresh(10.0)
     assert contact.is_recent(11.0)
     assert not contact.is_recent(11.1)
+
+
+@loopback
+async def _run_shutdown():
+    process = Process(parse_settings(json.dumps(BOOT)), "sidecar")
+    process.stalls.start()
+    process.stalls._ticked_at -= 5.0
+    process._request_shutdown()
+    process._request_shutdown()
+    budget = process.begin_shutdown()
+    assert 2.0 <= budget.remaining_s() <= 2.5
+
+
+def test_the_grace_period_of_a_process_that_stood_still_counts_from_when_it_stopped(monkeypatch):
+    """Frozen for 5 s, told to end meanwhile: it took requests until it was killed at the end of its grace."""
+    monkeypatch.setattr(ShutdownBudget, "start_watchdog", lambda budget: None)
+    monkeypatch.setattr("fordtrestle.roles.process._SIGNALS", ())
+    _run_shutdown()
