A draining sidecar judges each send by the time of the send, not of the arrival

Each step of a request matches the route anew, but the drain policy was asked for the time of arrival. Now a retry, or a send after a wait, is taken only if it can be completed from then on; otherwise the client is told that the request has not run. The test fails without that.

--- a/fordtrestle/routing/drain_policy.py
+++ b/fordtrestle/routing/drain_policy.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainPolicy:
-    """Admission policy by arrival time; the default policy accepts every request.
+    """Admission policy by the time of a send; the default policy accepts every request.
 
     Attributes:
         accept_all_streams_until: Streams of any length are accepted up to this time, in seconds of the loop's
@@ -40,17 +40,17 @@
         accept_s = min(ACCEPT_ALL_STREAMS_S, ACCEPT_ALL_STREAMS_SHARE * (abort_at - started_at))
         return cls(started_at + accept_s, abort_at)
 
-    def accepts(self, route_type: RouteType, tokens_out: int, arrived_at: float) -> bool:
-        """Return whether a request is accepted.
+    def accepts(self, route_type: RouteType, tokens_out: int, sent_at: float) -> bool:
+        """Return whether a request may be sent to a server, which includes each retry.
 
         Args:
             route_type: The type of the request's route.
             tokens_out: The maximum number of tokens in the response; 0 if unknown.
-            arrived_at: When the request arrived, in seconds of the loop's clock.
+            sent_at: When it would be sent, in seconds of the loop's clock.
         """
         if route_type is not RouteType.STREAMING:
-            return arrived_at + MAX_SHORT_REQUEST_S <= self.abort_at
-        if arrived_at <= self.accept_all_streams_until:
+            return sent_at + MAX_SHORT_REQUEST_S <= self.abort_at
+        if sent_at <= self.accept_all_streams_until:
             return True
-        latest_end = arrived_at + MAX_FIRST_TOKEN_S + MAX_TOKEN_INTERVAL_S * tokens_out
+        latest_end = sent_at + MAX_FIRST_TOKEN_S + MAX_TOKEN_INTERVAL_S * tokens_out
         return tokens_out > 0 and latest_end <= self.abort_at
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -660,6 +660,12 @@
         "        attempts.restrict(route)\n        if not self._can_run(attempts, now):\n"
         "            return None\n",
     ),
+    "a retry is sent only if this sidecar can still complete it": _removal(
+        "routing/router.py",
+        "tests/routing/test_router.py",
+        "request.prompt.tokens_out, now):",
+        "request.prompt.tokens_out, request.arrived_at):",
+    ),
     "a request runs again only while the view is current": _removal(
         "routing/router.py",
         "tests/routing/test_router.py",
@@ -758,8 +764,7 @@
     "streams are accepted only if they can be completed": _removal(
         "routing/router.py",
         CLOSING,
-        "        if not self.drain_policy.accepts("
-        "route.route_type, request.prompt.tokens_out, request.arrived_at):\n",
+        "        if not self.drain_policy.accepts(route.route_type, request.prompt.tokens_out, now):\n",
         "        if False:\n",
     ),
     "a step that hangs is cancelled": _removal(
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -156,6 +156,16 @@
     assert next_step(make_router(("i-1", "i-2")), attempts=attempts) == Reject(0.4, "it may have run")
 
 
+def test_a_request_that_a_server_held_and_rejected_is_not_sent_on_when_the_sidecar_is_about_to_end():
+    """It was sent to another server 30 ms before the end, and broken off there."""
+    router = make_router(("i-1", "i-2"), drain_policy=DrainPolicy.draining(NOW - 5.0, abort_at=NOW + 2.0))
+    request = replace(REQUEST, prompt=Prompt(tokens_out=24))
+    attempts = RequestAttempts()
+    assert isinstance(next_step(router, request, attempts), SendTo)
+    attempts.record_send("i-1", rejected=True)
+    assert next_step(router, request, attempts, now=NOW + 1.7) == Reject(4.0, "this sidecar ends")
+
+
 def test_a_request_runs_again_only_while_the_view_is_current():
     current, outdated = (
         make_router(("i-1", "i-2"), is_view_current=lambda now, c=c: c) for c in (True, False)
