--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,6 +4,9 @@
 one test, as `pytest --collect-only -q` prints it. A listed test is run and has to fail in its own body. The
 run fails if the test does not, if a run of the whole suite does not collect it, or if the file is invalid.
 
+A line may name a command with its seed instead, as `$ command`: a fault that no test shows each time. It is
+printed, and not run.
+
 With pytest-xdist, `OutcomeRewriter` is active in the workers, which run the tests, and `RunVerdict` in the
 controller, which decides whether the run fails; without it both are active in one process. The outcome of a
 listed test is passed on as an attribute of its reports.
@@ -23,7 +26,10 @@
 MAX_ENTRIES = 3
 FIELDS = ("test id", "cause", "issue")
 PATTERNS = (r"\S+\.py::.+", r".+", r"#?[0-9]+")  # of the fields, in the same order
+COMMAND_PREFIX = "$ "  # of a test id that is a command
+COMMAND_PATTERN = r"\$ \S.*"
 RED = "fails"
+NOT_RUN_HERE = "is a command, which is not run here"
 NOT_COLLECTED = "was not collected"
 OUTCOME_ATTRIBUTE = "known_red"  # of the reports of a listed test
 
@@ -53,6 +59,11 @@
     issue: str
     outcome: str = NOT_COLLECTED
 
+    @property
+    def is_command(self) -> bool:
+        """Whether the line names a command instead of a test."""
+        return self.test.startswith(COMMAND_PREFIX)
+
 
 def read(path: Path) -> list[Entry]:
     """Read the entries of a file.
@@ -99,6 +110,8 @@
         value = values[index] if index < len(values) else ""
         if not value:
             raise InvalidFileError(f"{location}: {field}: is missing")
+        if index == 0 and value.startswith(COMMAND_PREFIX):
+            pattern = COMMAND_PATTERN
         if not re.fullmatch(pattern, value):
             raise InvalidFileError(f"{location}: {field}: {value!r} does not match {pattern}")
     if values[0] in listed_tests:
@@ -171,7 +184,15 @@
         """Print one line for each entry, with its cause."""
         terminalreporter.section("known red")
         for entry in self._entries.values():
-            verdict = "known" if entry.outcome == RED else "FAILED" if self._breaks(entry) else "left out"
+            if entry.is_command:
+                entry.outcome = NOT_RUN_HERE
+            verdict = (
+                "known"
+                if entry.is_command or entry.outcome == RED
+                else "FAILED"
+                if self._breaks(entry)
+                else "left out"
+            )
             summary = f"{verdict}: {entry.test} {entry.outcome} | {entry.cause} | {entry.issue}"
             terminalreporter.line(f"{FILE}, line {entry.line}: {summary}")
 
@@ -184,7 +205,11 @@
 
     def _breaks(self, entry: Entry) -> bool:
         """Return whether an entry fails the run; a run of a part may leave its test out."""
-        return entry.outcome != RED and (self._is_whole_suite or entry.outcome != NOT_COLLECTED)
+        return (
+            not entry.is_command
+            and entry.outcome != RED
+            and (self._is_whole_suite or entry.outcome != NOT_COLLECTED)
+        )
 
 
 def _judge(entry: Entry, call: pytest.CallInfo, report: pytest.TestReport) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -179,9 +179,19 @@
     ]
 
 
+def test_a_command_is_printed_and_not_run(run):
+    result = run("$ false --seed 1 | a rule breaks in one play of three | 30", suite="def test_green(): pass")
+    assert result.ret == pytest.ExitCode.OK
+    result.assert_outcomes(passed=1)
+    [line] = lines_of(result, "KNOWN-RED")
+    assert "known: $ false --seed 1 is a command, which is not run here | a rule breaks" in line
+
+
 @pytest.mark.parametrize(
     ("line", "message"),
     [
+        ("$ false", "cause: is missing"),
+        ("$ false | sometimes", "issue: is missing"),
         ("test_red", r"test id: 'test_red' does not match \S+\.py::.+"),
         (" | counts wrong | 30", "test id: is missing"),
         (
