A sidecar believes its configuration only with links to a majority of the control processes

Any two majorities have a process in common, and a change is acknowledged only by an epoch that a majority has accepted. The guard that takes this out is found by its test.

--- a/fordtrestle/roles/sidecar_process.py
+++ b/fordtrestle/roles/sidecar_process.py
@@ -23,8 +23,8 @@
 from fordtrestle.ingress.server import IngressLimits, IngressServer
 from fordtrestle.ingress.wait_queue import WaitQueue
 from fordtrestle.roles import metrics
-from fordtrestle.roles.control_contact import ControlContact
-from fordtrestle.roles.process import SIDECAR_ROLE, Process
+from fordtrestle.roles.control_contact import ControlContact, has_majority
+from fordtrestle.roles.process import CONTROL_ROLE, MAX_CONTROL_LINKS, SIDECAR_ROLE, Process
 from fordtrestle.routing.outcome_reporter import REPORT_INTERVAL_S, OutcomeReporter
 from fordtrestle.routing.router import Router
 from fordtrestle.routing.server_selector import ServerSelector
@@ -47,7 +47,7 @@
         self.view = View(boot.zones, boot.heartbeat_s, asyncio.get_running_loop().time())
         bounds = boot.bounds
         self._warm_up_budget = WarmUpBudget(bounds.cold_overshoot, bounds.cold_slack, boot.node_name)
-        self._control_contact = ControlContact(self._has_control_link)
+        self._control_contact = ControlContact(self._is_linked_to_control)
         self.process.stalls.on_tick = self._control_contact.refresh
         self.router = self._make_router(boot)
         self.forwarder = Forwarder()
@@ -102,8 +102,13 @@
             is_view_current=self._is_view_current,
         )
 
-    def _has_control_link(self) -> bool:
-        return any(self.process.is_control(link.peer) for link in self.process.mesh.links())
+    def _is_linked_to_control(self) -> bool:
+        process = self.process
+        members = [member for member, _ in process.gossip.catalog.members()]
+        controls = sorted((member.peer, member.node) for member in members if member.role == CONTROL_ROLE)
+        known = [node for _, node in controls[:MAX_CONTROL_LINKS]]  # no more are dialled
+        linked = [link.node for link in process.mesh.links() if process.is_control(link.peer)]
+        return has_majority(linked, known)
 
     def _is_view_current(self, now: float) -> bool:
         """Return whether this process has neither stood still nor been without contact to control."""
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -671,6 +671,12 @@
         "tests/routing/test_router.py",
         " and (attempts.runs == 0 or self.is_view_current(now))",
     ),
+    "a view is not trusted without links to a majority of the control processes": _removal(
+        "roles/control_contact.py",
+        "tests/roles/test_stall_monitor.py",
+        "return 2 * len(set(linked)) > len({*linked, *known})",
+        "return bool(linked)",
+    ),
     "a view is not trusted after a stall": _removal(
         "roles/stall_monitor.py",
         "tests/roles/test_stall_monitor.py",
--- a/tests/roles/test_stall_monitor.py
+++ b/tests/roles/test_stall_monitor.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fordtrestle.roles.control_contact import ControlContact
+from fordtrestle.roles.control_contact import ControlContact, has_majority
 from fordtrestle.roles.process import Process
 from fordtrestle.roles.shutdown import ShutdownBudget
 from fordtrestle.roles.stall_monitor import RECOVERY_S, StallMonitor
@@ -42,11 +42,29 @@
     assert (monitor.has_recovered(now), monitor.earliest_arrival(now)) == (has_recovered, earliest_arrival)
 
 
+@pytest.mark.parametrize(
+    ("linked", "known", "expected"),
+    [
+        ("", "", False),
+        ("a", "", True),
+        ("", "abc", False),
+        ("a", "abc", False),
+        ("ab", "abc", True),
+        ("aabb", "abcd", False),
+        ("abd", "abc", True),
+    ],
+)
+def test_contact_needs_links_to_a_majority_of_the_control_processes(linked, known, expected):
+    """A sidecar whose region is cut off has a link to the region's own control process alone."""
+    assert has_majority(linked, known) is expected
+
+
 def test_contact_to_control_lasts_for_a_second_after_the_last_link():
-    links = [True, False, False]
+    links = [True, False]
     contact = ControlContact(lambda: links.pop(0))
-    assert not ControlContact(lambda: False).is_recent(10.0)
+    assert not contact.is_recent(10.0)
     contact.refresh(10.0)
+    contact.refresh(10.5)
     assert contact.is_recent(11.0)
     assert not contact.is_recent(11.1)
 
