History checker: unanswered calls that can take effect no more are told apart no longer

A call that can take effect no more makes no difference to what follows. Limits and checks are as they were.

--- a/rig/coordination/linearizability.py
+++ b/rig/coordination/linearizability.py
@@ -47,7 +47,7 @@
     seen: set[_Configuration] = set()
     waiting = [_Configuration(0, initial)]
     while waiting:
-        configuration = waiting.pop()
+        configuration = _without_expired(waiting.pop(), ordered)
         if configuration.done & required == required:
             return True
         if configuration in seen:
@@ -59,14 +59,33 @@
     return False
 
 
+def _without_expired(configuration: _Configuration, ordered: Sequence[Call]) -> _Configuration:
+    """Count the unanswered calls that can take effect no more as done: they make no difference any more.
+
+    Otherwise each set of them that may have taken effect would be a configuration of its own.
+    """
+    done = configuration.done
+    reached = _reached(done, ordered)
+    for index, call in enumerate(ordered):
+        if call.sent + MAX_EFFECT_S >= reached:
+            break
+        if call.ended == math.inf:
+            done |= 1 << index
+    return _Configuration(done, configuration.state)
+
+
+def _reached(done: int, ordered: Sequence[Call]) -> float:
+    """Return the time after which the next call takes effect: when the last of those done was sent."""
+    return ordered[done.bit_length() - 1].sent if done else -math.inf
+
+
 def _successors(
     configuration: _Configuration, ordered: Sequence[Call], step: Step
 ) -> Iterator[_Configuration]:
     """Yield the configuration after each call that may be next; the search tries the earliest sent first."""
     left = [index for index in range(len(ordered)) if not configuration.done >> index & 1]
     first_end = min((ordered[index].ended for index in left), default=math.inf)
-    done = (call.sent for index, call in enumerate(ordered) if configuration.done >> index & 1)
-    reached = max(done, default=-math.inf)  # the next call takes effect after this time
+    reached = _reached(configuration.done, ordered)
     for index in reversed(left):
         call = ordered[index]
         is_too_old = call.ended == math.inf and call.sent + MAX_EFFECT_S < reached
