Soak: a process that ends as it starts has read no request

The users' rule is about requests that a process has read. Narrowed to this code and to requests that were not forwarded; a process that handled SIGTERM, and one that had forwarded the request, are still found (two new records).

--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -75,6 +75,13 @@
     "SIGTERM during the start": record(
         lifetimes=[lifetime(started=7.9, sigterm_at=8.0, ended=8.1, code=-15)], requests=[]
     ),
+    "a process ends as it starts, before it has read anything": record(
+        lifetimes=[
+            lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=-15),
+            lifetime("two", "west", OTHER),
+        ],
+        requests=[*(request(front=OTHER) for _ in range(9)), request("r", ended=10.8, **INCOMPLETE)],
+    ),
     "SIGHUP before the interpreter runs": record(lifetimes=[lifetime(ended=0.4, code=-1)], requests=[]),
     "few requests are redirected": record(
         requests=[request(kind=CHAT, region="west", front=OTHER if n else FRONT) for n in range(40)]
@@ -95,6 +102,15 @@
 BROKEN_RECORDS = {
     "LOST forwarded and cut": record(requests=[request("r", **INCOMPLETE)], runs=[Run("r", "east-1", 10.0)]),
     "LOST ended late without a response": record(requests=[request("r", ended=10.6, **INCOMPLETE)]),
+    "LOST a process that handled SIGTERM ends without a response": record(
+        lifetimes=[lifetime(sigterm_at=10.7, ended=10.8, code=0)],
+        requests=[request("r", ended=10.8, **INCOMPLETE)],
+    ),
+    "LOST a process that was killed as it started had forwarded a request": record(
+        lifetimes=[lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=-15)],
+        requests=[request("r", ended=10.8, **INCOMPLETE)],
+        runs=[Run("r", "east-1", 10.1)],
+    ),
     "LOST a stream sent late is cut": record(
         lifetimes=[TERMINATED],
         requests=[request("r", LONG, sent=11.1, ended=15.4, **INCOMPLETE)],
