--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -84,7 +84,7 @@
     ),
     "resuming streams": Mechanism(
         "fordtrestle/routing/router.py",
-        "        if route is None or not route.is_resumable or attempts.runs >= route.max_attempts:\n",
+        "        if route is None or not route.is_resumable:\n",
         "        if True:\n",
     ),
     "another server after a rejection": Mechanism(
