Soak: a process that ended before it logged anything has read no request

Trace: 40 starts of a sidecar with SIGTERM 0.05 to 1.6 s after; up to 1.2 s it ended with code 0 (the first 0.1 s: -15) and had logged nothing, later it logged sidecar:draining. It was still loading its libraries, and read nothing. The check of before went by the code -15, which is that of the interpreter's first moments alone; it now goes by the log, which a process that serves always writes.

--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -102,8 +102,8 @@
                 yield Finding(
                     "LOST", f"{where}{after_sigterm} was forwarded and cut after {duration_s:.2f} s"
                 )
-        elif lifetime.code == -signal.SIGTERM:
-            continue  # it ended before it handled signals, and so before it read any request
+        elif sigterm_at is not None and not lifetime.has_logged:
+            continue  # it ended while it loaded its libraries, and so before it read any request
         elif request.ended - request.sent > MAX_UNFORWARDED_S:
             yield Finding(
                 "LOST",
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -77,7 +77,7 @@
     ),
     "a process ends as it starts, before it has read anything": record(
         lifetimes=[
-            lifetime(started=9.3, sigterm_at=10.7, ended=10.8, code=-15),
+            lifetime(started=9.3, sigterm_at=10.7, ended=10.8, code=0, has_logged=False),
             lifetime("two", "west", OTHER),
         ],
         requests=[*(request(front=OTHER) for _ in range(9)), request("r", ended=10.8, **INCOMPLETE)],
@@ -107,7 +107,7 @@
         requests=[request("r", ended=10.8, **INCOMPLETE)],
     ),
     "LOST a process that was killed as it started had forwarded a request": record(
-        lifetimes=[lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=-15)],
+        lifetimes=[lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=0, has_logged=False)],
         requests=[request("r", ended=10.8, **INCOMPLETE)],
         runs=[Run("r", "east-1", 10.1)],
     ),
