A response that its client leaves is logged once, with what it proves

Found on reading the change again: a client that left while a stream was being continued left two events for one send, the second with 'it has run' where nothing had been heard; one that left within a short response left none. Both cases fail on the code before.

--- a/fordtrestle/ingress/request_handler.py
+++ b/fordtrestle/ingress/request_handler.py
@@ -67,6 +67,9 @@
         try:
             with self._context.router.track(self._metadata, self._attempts):
                 return await self._run_steps()
+        except asyncio.CancelledError:
+            self._sender.record_incomplete(CANCELLED)
+            raise
         finally:
             self._sender.release()
 
@@ -155,7 +158,6 @@
             await relay.start()
             return await self._relay_parts(relay, response, send.deadline)
         except asyncio.CancelledError:
-            self._sender.record_incomplete(CANCELLED)
             relay.abort()  # the client disconnected, or this sidecar shuts down
             raise
 
--- a/fordtrestle/ingress/request_sender.py
+++ b/fordtrestle/ingress/request_sender.py
@@ -6,7 +6,7 @@
 
 from fordtrestle.forward.client import OutboundRequest
 from fordtrestle.forward.headers import LAST_EVENT_ID, PRIORITY, headers_for_server
-from fordtrestle.forward.results import SendResult
+from fordtrestle.forward.results import Answered, SendResult
 from fordtrestle.ingress.inbound_request import HandlerContext, InboundRequest
 from fordtrestle.ingress.outcome_recorder import OutcomeRecorder
 from fordtrestle.routing.decisions import SendTo
@@ -30,6 +30,7 @@
         self._priority = context.priority_assigner.assign(inbound.prompt.own_tokens)
         self._current: SendTo | None = None  # the send that is in flight
         self._sent_at = 0.0  # in seconds of the loop's clock
+        self._is_answered = False  # whether the head of the current server's response was received
 
     async def send(self, send: SendTo, last_event_id: str = "") -> SendResult:
         """Send the request to one server, and record the result.
@@ -47,6 +48,7 @@
         self.release()
         self._mark_in_flight(send)
         self._sent_at = loop.time()
+        self._is_answered = False
         tokens = self._inbound.prompt.own_tokens or 0
         server.prefill_tokens += tokens
         try:
@@ -56,14 +58,15 @@
             raise
         finally:
             server.prefill_tokens -= tokens
+        self._is_answered = isinstance(result, Answered)
         elapsed_s = self._elapsed_s()
         self._recorder.record(send, result, elapsed_s, loop.time())
         self._send_log.record_result(self._inbound.request_id, send, result, elapsed_s)
         return result
 
     def record_incomplete(self, end: str) -> None:
-        """Log that the response of the current server ended early; `end` says how."""
-        if self._current is not None:
+        """Log that the current server's response, if it has begun, ended early; `end` says how."""
+        if self._current is not None and self._is_answered:
             self._send_log.record_incomplete(self._inbound.request_id, self._current, end, self._elapsed_s())
 
     def record_broken_stream(self) -> None:
--- a/tests/ingress/test_send_log.py
+++ b/tests/ingress/test_send_log.py
@@ -101,6 +101,51 @@
     assert summary(events[0]) == ("i-1", "Cancelled", None, "it may have run")
 
 
+@pytest.mark.parametrize(
+    ("answer", "fields"),
+    [
+        pytest.param([BROKEN_BODY[0], ConnectionEnd.SILENT], {}, id="within a short response"),
+        pytest.param(
+            [BROKEN_STREAM[0], ConnectionEnd.SILENT],
+            {"route_type": "streaming", "resumable": True},
+            id="within a stream",
+        ),
+    ],
+)
+@loopback
+async def test_a_response_whose_client_disconnects_is_logged_once_as_run(answer, fields, events):
+    async with FakeServer(answer) as server, IngressHarness(route(**fields)) as harness:
+        harness.add(server)
+        async with Client(harness.port) as client:
+            await client.send(make_call())
+            await until(lambda: server.requests)
+            await asyncio.sleep(0.1)
+        await until(lambda: events)
+        await asyncio.sleep(0.1)
+    assert [summary(event) for event in events] == [("i-1", "Cancelled", None, "it has run")]
+
+
+@loopback
+async def test_a_continuation_whose_client_disconnects_is_logged_once_as_unknown(events):
+    stream = route(route_type="streaming", resumable=True, max_attempts=2)
+    async with (
+        FakeServer(BROKEN_STREAM) as first,
+        FakeServer([ConnectionEnd.SILENT]) as second,
+        IngressHarness(stream) as harness,
+    ):
+        harness.add(first, "i-1")
+        harness.add(second, "i-2", zone="z-2")
+        async with Client(harness.port) as client:
+            await client.send(make_call())
+            await until(lambda: second.requests)
+        await until(lambda: len(events) >= 2)
+        await asyncio.sleep(0.1)
+    assert [summary(event) for event in events] == [
+        ("i-1", "BROKEN", None, "it has run"),
+        ("i-2", "Cancelled", None, "it may have run"),
+    ]
+
+
 @pytest.mark.parametrize("logs_all", [False, True])
 @loopback
 async def test_a_send_that_was_simply_answered_is_logged_only_if_asked_for(logs_all, events):
