A stall leaves a second to answer, and an error at a tick ends no ticks

Found on reading: a process that stalled for longer than its grace period and then noticed SIGTERM had no time left, and ended without answering what was open; and an error in what a tick calls would have ended the ticks, after which any SIGTERM counts as old. A second remains now, and the next tick is set first.

--- a/fordtrestle/roles/shutdown.py
+++ b/fordtrestle/roles/shutdown.py
@@ -14,6 +14,8 @@
 import eliot
 
 EXIT_MARGIN_S = 0.5  # the process exits this long before the end of the grace period
+# After a stall that may have used up the grace period: time to answer open requests, in case it has not.
+MIN_SHUTDOWN_S = 1.0
 MIN_STEP_S = 0.02  # minimum time limit of a step, even if the budget is used up
 MS_PER_S = 1000.0
 EXIT_DONE = 0
@@ -36,8 +38,10 @@
                 if it begins now.
         """
         self._loop = asyncio.get_running_loop()
-        self.started_at = self._loop.time() if started_at is None else started_at
-        self.exit_at = self.started_at + max(MIN_STEP_S, grace_s - EXIT_MARGIN_S)
+        now = self._loop.time()
+        self.started_at = now if started_at is None else started_at
+        duration_s = max(MIN_STEP_S, grace_s - EXIT_MARGIN_S)
+        self.exit_at = max(self.started_at + duration_s, now + min(duration_s, MIN_SHUTDOWN_S))
 
     def remaining_s(self) -> float:
         """Return the time until the process has to exit, in seconds."""
--- a/fordtrestle/roles/stall_monitor.py
+++ b/fordtrestle/roles/stall_monitor.py
@@ -1,7 +1,7 @@
-"""Detects that this process stood still: frozen, suspended, or without processor time.
+"""Detects stalls of this process: it was stopped, suspended, or had no processor time.
 
-What a process knew before it stood still may have been replaced meanwhile, and what reaches it together with
-its first turn afterwards may have been sent at any time since the last turn before.
+State from before a stall may have been replaced meanwhile. An event that is noticed right after a stall, such
+as a signal, may have occurred at any time during it.
 """
 
 from __future__ import annotations
@@ -33,10 +33,10 @@
     def start(self) -> None:
         """Tick from now on, until the event loop is closed."""
         loop = asyncio.get_running_loop()
+        loop.call_later(TICK_INTERVAL_S, self.start)  # first, so that an error in `on_tick` ends no ticks
         now = loop.time()
         self.tick(now)
         self.on_tick(now)
-        loop.call_later(TICK_INTERVAL_S, self.start)
 
     def tick(self, now: float) -> None:
         """Record that the process runs."""
@@ -45,11 +45,11 @@
         self._ticked_at = now
 
     def has_recovered(self, now: float) -> bool:
-        """Return whether the process has not stood still within the last `RECOVERY_S`."""
+        """Return whether there was no stall within the last `RECOVERY_S`."""
         return now - self._ticked_at <= STALL_S and now - self._stall_ended_at >= RECOVERY_S
 
     def earliest_arrival(self, now: float) -> float:
-        """Return since when something that the process notices now may have been waiting for it."""
+        """Return the earliest time at which an event that is noticed now may have occurred."""
         if now - self._ticked_at > STALL_S:
             return self._ticked_at
         if now - self._stall_ended_at <= TICK_INTERVAL_S:
