A sidecar that has just started runs no request again

Found on reading: before it knows its peers, one link alone was a majority of the control processes that it knew, so that it could have trusted a configuration of a process that is cut off. The wiring of the sidecar had no test: it has one, and a guard; the test fails without the line.

--- a/fordtrestle/roles/sidecar_process.py
+++ b/fordtrestle/roles/sidecar_process.py
@@ -111,7 +111,9 @@
         return has_majority(linked, known)
 
     def _is_view_current(self, now: float) -> bool:
-        """Return whether this process has neither stood still nor been without contact to control."""
+        """Return whether this process knows its peers, has not stalled, and is in contact with control."""
+        if not self.view.knows_peers(now):
+            return False
         return self.process.stalls.has_recovered(now) and self._control_contact.is_recent(now)
 
     def _on_items(self, items: list[Item]) -> None:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -677,6 +677,11 @@
         "return 2 * len(set(linked)) > len({*linked, *known})",
         "return bool(linked)",
     ),
+    "a sidecar that has just started does not trust its view": _removal(
+        "roles/sidecar_process.py",
+        "tests/roles/test_stall_monitor.py",
+        "        if not self.view.knows_peers(now):\n            return False\n",
+    ),
     "a view is not trusted after a stall": _removal(
         "roles/stall_monitor.py",
         "tests/roles/test_stall_monitor.py",
--- a/tests/roles/test_stall_monitor.py
+++ b/tests/roles/test_stall_monitor.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 
+from fordtrestle.dissemination.items import Availability, MemberRecord, member_item
 from fordtrestle.roles.control_contact import ControlContact, has_majority
 from fordtrestle.roles.process import Process
 from fordtrestle.roles.shutdown import ShutdownBudget
+from fordtrestle.roles.sidecar_process import SidecarProcess
 from fordtrestle.roles.stall_monitor import RECOVERY_S, StallMonitor
 from fordtrestle.settings.boot import parse_settings
 from tests.exchanges import loopback
@@ -69,6 +73,43 @@
     assert not contact.is_recent(11.1)
 
 
+@loopback
+async def _check_budgets():
+    now = asyncio.get_running_loop().time()
+    for grace_s, stalled_s, remaining_s in (
+        (8.0, 0.0, 7.5),
+        (8.0, 5.0, 2.5),
+        (8.0, 30.0, 1.0),
+        (1.0, 30.0, 0.5),
+    ):
+        budget = ShutdownBudget(grace_s, now - stalled_s)
+        assert budget.remaining_s() == pytest.approx(remaining_s, abs=0.2)
+
+
+def test_a_process_that_stalled_for_longer_than_its_grace_period_has_time_to_answer():
+    _check_budgets()
+
+
+@loopback
+async def _check_ticks():
+    monitor, ticks = StallMonitor(), []
+
+    def fail(now):
+        ticks.append(now)
+        raise OSError("no link")
+
+    monitor.on_tick = fail
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    asyncio.get_running_loop().call_soon(monitor.start)
+    async with asyncio.timeout(5.0):
+        while len(ticks) < 2:
+            await asyncio.sleep(0.01)
+
+
+def test_an_error_in_what_is_called_at_a_tick_does_not_end_the_ticks():
+    _check_ticks()
+
+
 @loopback
 async def _run_shutdown():
     process = Process(parse_settings(json.dumps(BOOT)), "sidecar")
@@ -85,3 +126,35 @@
     monkeypatch.setattr(ShutdownBudget, "start_watchdog", lambda budget: None)
     monkeypatch.setattr("fordtrestle.roles.process._SIGNALS", ())
     _run_shutdown()
+
+
+def control_member(number):
+    record = MemberRecord(
+        f"core-{number}", "control", "kul-1", "kul", f"10.1.0.{number}:7660", "", Availability.READY
+    )
+    return member_item(record, 1, 1)
+
+
+@loopback
+async def _check_sidecar():
+    sidecar = SidecarProcess(parse_settings(json.dumps(BOOT)))
+    process, now = sidecar.process, asyncio.get_running_loop().time()
+    links = [SimpleNamespace(node=f"core-{number}", peer=f"10.1.0.{number}:7660") for number in (1, 2)]
+    process.gossip.catalog.merge([control_member(number) for number in (1, 2, 3)], now)
+    process.stalls.tick(now)
+    for linked, started_at, is_current in (
+        (links, now - 60.0, True),
+        (links, now, False),
+        (links[:1], now - 60.0, False),
+        ([SimpleNamespace(node="front-1", peer="10.1.0.9:7661"), *links[:1]], now - 60.0, False),
+    ):
+        process.mesh.links = lambda linked=linked: linked
+        sidecar._control_contact = ControlContact(sidecar._is_linked_to_control)
+        sidecar._control_contact.refresh(now)
+        sidecar.view._started_at = started_at
+        assert sidecar.router.is_view_current(now) is is_current
+    await sidecar.forwarder.close()
+
+
+def test_a_sidecar_trusts_its_view_once_it_knows_its_peers_and_is_linked_to_most_control_processes():
+    _check_sidecar()
