--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -1,11 +1,11 @@
 """Soak test of the system: rolls, kills, freezes, changes and evacuations under traffic, checked by rules.
 
     python -m benchmarks.system_soak --seeds 1-20 [--seconds 30] [--sidecars 2] [--clients 6] [--logs DIR]
-        [--storm]
+        [--faults]
 
-With `--storm` servers fail, freeze, end and are replaced, and changes touch the routes' rules. Without it odd
-seeds have planned work only. One line is printed for each seed. The exit code is 1 if a rule is
-broken. `--logs` keeps the logs of the processes and the schedule of failed plays.
+With `--faults` servers fail, freeze, end and are replaced, and changes touch the routes' rules. Without it
+odd seeds have planned work only. One line is printed for each seed. The exit code is 1 if a rule is broken.
+`--logs` keeps the logs of the processes and the schedule of failed plays.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from rig.system.soak.checks import Finding, check
 from rig.system.soak.play import Play
 from rig.system.soak.record import Record
-from rig.system.soak.schedule import Schedule, draw, draw_storm
-from rig.system.soak.servers import STORM_FAULTS, faulty_runs, server_names
+from rig.system.soak.schedule import Schedule, draw, draw_with_server_faults
+from rig.system.soak.servers import SERVER_FAULTS, faulty_runs, server_names
 
 MAX_PRINTED_FINDINGS = 5  # of a seed
 
@@ -44,11 +44,11 @@
     return draw(seed, seconds, names, [f"control-{region}" for region in REGIONS], list(REGIONS))
 
 
-def draw_storm_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
+def draw_faults_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
     """Draw the schedule of a seed with failures of servers."""
     names = sidecar_names(sidecars)
     controls = [f"control-{region}" for region in REGIONS]
-    return draw_storm(seed, seconds, names, controls, list(REGIONS), server_names())
+    return draw_with_server_faults(seed, seconds, names, controls, list(REGIONS), server_names())
 
 
 def summarize(schedule: Schedule, record: Record, findings: list[Finding]) -> str:
@@ -97,16 +97,18 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--sidecars", type=int, default=2, help="of each region")
     parser.add_argument("--clients", type=int, default=6, help="of each region")
-    parser.add_argument("--storm", action="store_true", help="servers fail and routes' rules change")
+    parser.add_argument("--faults", action="store_true", help="servers fail and routes' rules change")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed plays")
     options = parser.parse_args()
     broken = 0
     for seed in options.seeds:
-        draw_seed = draw_storm_schedule if options.storm else draw_schedule
+        draw_seed = draw_faults_schedule if options.faults else draw_schedule
         schedule = draw_seed(seed, options.seconds, options.sidecars)
-        storm = STORM_FAULTS if options.storm else None
+        server_faults = SERVER_FAULTS if options.faults else None
         with tempfile.TemporaryDirectory() as play_folder:
-            play = Play(schedule, Path(play_folder), options.sidecars, options.clients, storm=storm)
+            play = Play(
+                schedule, Path(play_folder), options.sidecars, options.clients, server_faults=server_faults
+            )
             record = asyncio.run(play.run())
             findings = check(record)
             if findings and options.logs:
--- a/rig/system/fleet.py
+++ b/rig/system/fleet.py
@@ -9,11 +9,10 @@
 import aiohttp
 
 from rig.system.deployment import REGIONS, Deployment, Machine, host_of
-from rig.system.model_server import ModelServer, Run, ServerSettings
+from rig.system.model_server import SERVICE, ModelServer, Run, ServerSettings
 from rig.system.server_faults import NO_FAULTS, FaultSource
 
 SERVERS_PER_REGION = 2
-SERVICE = "models"
 SERVERS_MACHINE_NUMBER = 250  # last number of their IP address in each region
 FIRST_PORT = 9000
 READY_POLL_INTERVAL_S = 0.02
--- a/rig/system/model_server.py
+++ b/rig/system/model_server.py
@@ -21,13 +21,14 @@
 
 from rig.system.server_faults import NO_FAULTS, DrawnFault, Fault, FaultSource
 
+SERVICE = "models"  # that the routes lead to
 PREFILL_TOKENS_PER_S = 40_000.0
 TOKEN_INTERVAL_S = 0.01  # between two tokens of a running request
 TOKENS_PER_EVENT = 4
 MAX_CACHED_TOKENS = 200_000  # of prompt parts
 HEARTBEAT_INTERVAL_S = 1.0
 MAX_SHORT_TOKENS = 4  # a response of at most this many tokens has a length instead of being a stream
-DUPLICATE_DELAY_SHARE = 0.05  # delay of a second answer, as a share of the time that the fault was held
+DUPLICATE_DELAY_SHARE = 0.05  # delay of a second answer, as a share of the time drawn with the fault
 CRASHED, FROZEN = "CRASHED", "FROZEN"  # faults of the runs that are open at that moment
 REQUEST_ID = "X-Request-Id"
 
@@ -52,6 +53,7 @@
     Attributes:
         request_id: The id of the request.
         zone: The zone of the server.
+        service: The service of the server.
         began: When the server began to process it.
         ended: When it stopped.
         is_complete: Whether the response was written completely.
@@ -61,6 +63,7 @@
     request_id: str
     zone: str
     began: float
+    service: str = SERVICE
     ended: float | None = None
     is_complete: bool = False
     fault: str = ""
@@ -138,7 +141,7 @@
     ) -> web.StreamResponse:
         """Process a request, and record the run; `fault` is what the server had before it began."""
         self._running += 1
-        run = Run(request_id, self._settings.zone, time.monotonic(), fault=fault)
+        run = Run(request_id, self._settings.zone, time.monotonic(), self._settings.service, fault=fault)
         self._on_run(run)
         self._runs[id(run)] = run
         try:
@@ -156,6 +159,8 @@
         """Answer a request, or do to it what was drawn."""
         if drawn is None:
             return await self._stream(request, request_id)
+        if drawn.fault is Fault.DUPLICATE:
+            return await self._answer_twice(request, request_id, drawn)
         run.fault = drawn.fault.name
         await asyncio.sleep(drawn.hold_s)
         await self._thawed.wait()
@@ -166,10 +171,15 @@
                 return _end_connection(request, is_reset=drawn.fault is Fault.RESET)
             case Fault.BREAK_OFF:
                 return await self._break_off(request, request_id)
+        return await self._stream(request, request_id)
+
+    async def _answer_twice(
+        self, request: web.Request, request_id: str, drawn: DrawnFault
+    ) -> web.StreamResponse:
+        """Answer a request at once, and again after a while."""
         response = await self._stream(request, request_id)
-        if drawn.fault is Fault.DUPLICATE:
-            delay_s = drawn.hold_s * DUPLICATE_DELAY_SHARE
-            asyncio.get_running_loop().call_later(delay_s, self._send_duplicate, request, request_id)
+        delay_s = drawn.hold_s * DUPLICATE_DELAY_SHARE
+        asyncio.get_running_loop().call_later(delay_s, self._send_duplicate, request, request_id)
         return response
 
     def _send_duplicate(self, request: web.Request, request_id: str) -> None:
--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from rig.coordination.rules import check_history
-from rig.system.model_server import Run
+from rig.system.model_server import SERVICE, Run
 from rig.system.soak.record import ClientRequest, ProcessLifetime, Record
 from rig.system.soak.route_changes import allowed_runs, possibly_active
 
@@ -45,6 +45,7 @@
         _check_home_regions,
         _check_repeated_runs,
         _check_answers,
+        _check_services,
         _check_exits,
         _check_logs,
         _check_versions,
@@ -158,6 +159,13 @@
             yield Finding("MIXED", f"{request.request_id} got the response to {request.answered_id}")
 
 
+def _check_services(record: Record) -> Iterator[Finding]:
+    """Check that requests run only at servers of the service that the routes lead to."""
+    for run in record.runs:
+        if run.service != SERVICE:
+            yield Finding("ROUTE", f"{run.request_id} ran at a server of {run.service} in {run.zone}")
+
+
 def _check_exits(record: Record) -> Iterator[Finding]:
     """Check that processes exit only after SIGTERM, within the grace time and with code 0."""
     for lifetime in record.lifetimes:
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -136,7 +136,7 @@
         clients: int,
         program: Program = PROGRAM,
         updated: Program = NEXT_PROGRAM,
-        storm: ServerFaults | None = None,
+        server_faults: ServerFaults | None = None,
     ) -> None:
         """Create the deployment and its clients.
 
@@ -147,7 +147,8 @@
             clients: Number of clients in each region.
             program: Version that all machines start with and are reverted to.
             updated: Version that they are updated to.
-            storm: How the servers fail requests while changes touch the routes' rules; `None` if they do not.
+            server_faults: How the servers fail requests, while changes touch the routes' rules; `None`
+                if they do not.
         """
         self.record = Record(GRACE_S)
         self._schedule = schedule
@@ -159,21 +160,21 @@
         applications_rng = random.Random(f"applications {schedule.seed}")
         self._applications = Applications(self._deployment, self.record, applications_rng)
         operator_rng = random.Random(self._rng.random())
-        self._operator = Operator(self._deployment, self.record, operator_rng, self._rules(storm))
-        keeps_connection = storm is not None
+        self._operator = Operator(self._deployment, self.record, operator_rng, self._rules(server_faults))
+        keeps_connection = server_faults is not None
         self._clients = [
             Client(self._deployment, region, self.record, random.Random(self._rng.random()), keeps_connection)
             for region in REGIONS
             for _ in range(clients)
         ]
 
-        self.record.has_server_faults = storm is not None
+        self.record.has_server_faults = server_faults is not None
         faults_rng = random.Random(f"faults {schedule.seed}")
-        self._servers = Servers(self._deployment, self.record.runs.append, faults_rng, storm)
+        self._servers = Servers(self._deployment, self.record.runs.append, faults_rng, server_faults)
 
-    def _rules(self, storm: ServerFaults | None) -> Callable[[], tuple[RouteRule, ...]]:
+    def _rules(self, server_faults: ServerFaults | None) -> Callable[[], tuple[RouteRule, ...]]:
         """Return the source of the rules of each configuration."""
-        if storm is None:
+        if server_faults is None:
             return standing_rules
         rules_rng = random.Random(f"rules {self._schedule.seed}")
         source = RuleSource(rules_rng, [kind.path for kind in KINDS])
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -90,7 +90,7 @@
     return Schedule(seed, duration_s, planned_only, tuple(ordered))
 
 
-def draw_storm(
+def draw_with_server_faults(
     seed: int,
     duration_s: float,
     sidecars: list[str],
--- a/rig/system/soak/servers.py
+++ b/rig/system/soak/servers.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from rig.system.deployment import REGIONS, Deployment
-from rig.system.fleet import SERVERS_PER_REGION, SERVICE, make_server
-from rig.system.model_server import ModelServer, Run
+from rig.system.fleet import SERVERS_PER_REGION, make_server
+from rig.system.model_server import SERVICE, ModelServer, Run
 from rig.system.server_faults import NO_FAULTS, FaultSource
 from rig.system.soak.schedule import Action, Step
 
@@ -29,7 +29,7 @@
     max_hold_s: float
 
 
-STORM_FAULTS = ServerFaults(share=0.25, max_hold_s=6.0)
+SERVER_FAULTS = ServerFaults(share=0.25, max_hold_s=6.0)
 
 
 def server_names() -> list[str]:
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks.system_soak import draw_schedule, draw_storm_schedule, summarize
+from benchmarks.system_soak import draw_faults_schedule, draw_schedule, summarize
 from rig.system.model_server import Run
 from rig.system.soak.checks import check
 from rig.system.soak.clients import KINDS, standing_rules
@@ -16,12 +16,12 @@
 from rig.system.soak.record import ClientRequest, ConfigurationRead, DirectoryAnswer, ProcessLifetime, Record
 from rig.system.soak.route_changes import ConfigurationVersion, RouteRule, RuleSource, allowed_runs
 from rig.system.soak.schedule import PLANNED, SERVER_ACTIONS, UPDATES, Action, draw_update
-from rig.system.soak.servers import STORM_FAULTS
+from rig.system.soak.servers import SERVER_FAULTS
 
 CHAT, NOTE, ORDER, LONG = KINDS
 DURATION_S = 20.0
 PLANNED_SEED, FAILURE_SEED = 7, 4
-STORM_SEEDS = (6, 10)  # without a frozen control process: issue 77
+SERVER_FAULT_SEEDS = (6, 10)  # without a frozen control process
 FRONT, OTHER = "a:80", "b:80"
 
 
@@ -149,6 +149,7 @@
         requests=[request("r", NOTE)], runs=[Run("r", "east-1", 10.0 + number) for number in range(3)]
     ),
     "MIXED the response to another request": record(requests=[request(answered_id="r")]),
+    "ROUTE a server of another service": record(runs=[Run("q", "east-1", 10.0, "others")]),
     "SERVED few requests": record(requests=[request(status=503), request(status=503)]),
 }
 
@@ -186,9 +187,9 @@
     assert allowed_runs(numbered, "/order/x/1", 10.0, began) == allowed
 
 
-def test_a_storm_has_failures_of_servers_and_changes_of_each_rule():
-    schedule = draw_storm_schedule(1, 60.0, 2)
-    assert schedule == draw_storm_schedule(1, 60.0, 2) != draw_storm_schedule(2, 60.0, 2)
+def test_a_schedule_with_server_faults_has_failures_of_servers_and_changes_of_each_rule():
+    schedule = draw_faults_schedule(1, 60.0, 2)
+    assert schedule == draw_faults_schedule(1, 60.0, 2) != draw_faults_schedule(2, 60.0, 2)
     assert set(SERVER_ACTIONS) | {Action.KILL, Action.FREEZE, Action.ROLL} <= {
         step.action for step in schedule.steps
     }
@@ -199,10 +200,10 @@
     assert any(rule.path_prefix.endswith("/x/") for rule in drawn)
 
 
-@pytest.mark.parametrize("seed", STORM_SEEDS)
-def test_a_storm_is_played_and_breaks_nothing(tmp_path, seed):
-    schedule = draw_storm_schedule(seed, DURATION_S, 2)
-    play = Play(schedule, tmp_path, sidecars=2, clients=6, storm=STORM_FAULTS)
+@pytest.mark.parametrize("seed", SERVER_FAULT_SEEDS)
+def test_a_seed_with_server_faults_is_played_and_breaks_nothing(tmp_path, seed):
+    schedule = draw_faults_schedule(seed, DURATION_S, 2)
+    play = Play(schedule, tmp_path, sidecars=2, clients=6, server_faults=SERVER_FAULTS)
     play_record = asyncio.run(play.run())
     findings = check(play_record)
     assert not findings, summarize(schedule, play_record, findings)
