History checker: unanswered calls are tried last

Verdicts do not depend on the order. The new test needs more than 100 configurations on the code before.

--- a/rig/coordination/linearizability.py
+++ b/rig/coordination/linearizability.py
@@ -82,11 +82,17 @@
 def _successors(
     configuration: _Configuration, ordered: Sequence[Call], step: Step
 ) -> Iterator[_Configuration]:
-    """Yield the configuration after each call that may be next; the search tries the earliest sent first."""
+    """Yield the configuration after each call that may be next; the search tries the last one first.
+
+    It tries answered calls first, and of these the earliest sent: an unanswered call has mostly had no
+    effect, and one that is assumed to have had it too early is refuted only by calls much later.
+    """
     left = [index for index in range(len(ordered)) if not configuration.done >> index & 1]
     first_end = min((ordered[index].ended for index in left), default=math.inf)
     reached = _reached(configuration.done, ordered)
-    for index in reversed(left):
+    unanswered = [index for index in left if ordered[index].ended == math.inf]
+    answered = [index for index in left if ordered[index].ended < math.inf]
+    for index in (*reversed(unanswered), *reversed(answered)):
         call = ordered[index]
         is_too_old = call.ended == math.inf and call.sent + MAX_EFFECT_S < reached
         if call.sent > first_end or is_too_old:
--- a/tests/rig/coordination/test_linearizability.py
+++ b/tests/rig/coordination/test_linearizability.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -41,6 +42,19 @@
     return [*calls, call(Operation.RENEW, "c", 60 * GAP_S, True, 9, Outcome.DONE)]
 
 
+def extended_history():
+    """Return a lock that changes hands, and unanswered calls that would have kept it with an effect."""
+    unanswered = [
+        replace(call(Operation.ACQUIRE, "a", 0.3 + number * 0.01, False, 0, Outcome.UNKNOWN), hold_s=60.0)
+        for number in range(16)
+    ]
+    first, next_holder = (
+        call(Operation.ACQUIRE, holder, sent, True, fence, Outcome.DONE)
+        for holder, sent, fence in (("a", 0.0, 1), ("b", 1.5, 2))
+    )
+    return [first, *unanswered, next_holder]
+
+
 def verdict(calls):
     return is_linearizable(calls, objects._Lock(), objects._lock_step)
 
@@ -60,3 +74,8 @@
     monkeypatch.setattr(linearizability, "_without_expired", lambda configuration, ordered: configuration)
     with pytest.raises(UndecidedError):
         verdict(unanswered_history())
+
+
+def test_a_history_whose_unanswered_calls_had_no_effect_is_decided_soon(monkeypatch):
+    monkeypatch.setattr(linearizability, "MAX_CONFIGURATIONS", 100)
+    assert verdict(extended_history())
