Soak: freezes of control processes beside long holds and repeated takes

The soak's holders gave locks back within 1.5 s, took none again after an unanswered finish and met few freezes of the core, so that a late finish was never followed by a hold that it could end.

--core-freezes draws freezes of control processes of 0.3 to 4 s, which overlap with each other and with kills, rolls and changes; leases last up to 6 s, a holder whose finish was not answered takes the lock again at once, and all callers keep their connections. The calls of a failed play are kept with its logs.

--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -1,11 +1,12 @@
 """Soak test of the system: rolls, kills, freezes, changes and evacuations under traffic, checked by rules.
 
     python -m benchmarks.system_soak --seeds 1-20 [--seconds 30] [--sidecars 2] [--clients 6] [--logs DIR]
-        [--faults]
+        [--faults | --core-freezes]
 
-With `--faults` servers fail, freeze, end and are replaced, and changes touch the routes' rules. Without it
+With `--faults` servers fail, freeze, end and are replaced, and changes touch the routes' rules. With
+`--core-freezes` control processes freeze for 0.3 to 4 s while locks are held for up to 6 s. Without either
 odd seeds have planned work only. One line is printed for each seed. The exit code is 1 if a rule is broken.
-`--logs` keeps the logs of the processes and the schedule of failed plays.
+`--logs` keeps the logs of the processes, the schedule and the applications' calls of failed plays.
 """
 
 from __future__ import annotations
@@ -20,10 +21,11 @@
 
 from rig.coordination.history import Outcome
 from rig.system.deployment import REGIONS
+from rig.system.soak.applications import LONG_HOLDS, SHORT_HOLDS
 from rig.system.soak.checks import Finding, check
 from rig.system.soak.play import Play
 from rig.system.soak.record import Record
-from rig.system.soak.schedule import Schedule, draw, draw_with_server_faults
+from rig.system.soak.schedule import Schedule, draw, draw_with_core_freezes, draw_with_server_faults
 from rig.system.soak.servers import SERVER_FAULTS, faulty_runs, server_names
 
 MAX_PRINTED_FINDINGS = 5  # of a seed
@@ -51,6 +53,12 @@
     return draw_with_server_faults(seed, seconds, names, controls, list(REGIONS), server_names())
 
 
+def draw_core_freezes_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
+    """Draw the schedule of a seed with freezes of control processes."""
+    controls = [f"control-{region}" for region in REGIONS]
+    return draw_with_core_freezes(seed, seconds, sidecar_names(sidecars), controls, list(REGIONS))
+
+
 def summarize(schedule: Schedule, record: Record, findings: list[Finding]) -> str:
     """Return one line on a play and lines on its first findings."""
     served = sum(request.is_complete and request.status == 200 for request in record.requests)
@@ -79,11 +87,23 @@
     return list(range(int(first), int(last or first) + 1))
 
 
-def _save_failure(logs_folder: Path, play_folder: Path, schedule: Schedule, findings: list[Finding]) -> None:
+def _save_failure(
+    logs_folder: Path, play_folder: Path, schedule: Schedule, record: Record, findings: list[Finding]
+) -> None:
     target = logs_folder / f"seed-{schedule.seed}"
     shutil.copytree(play_folder, target, dirs_exist_ok=True)
     lines = [*map(str, schedule.steps), *map(str, findings)]
     (target / "schedule.txt").write_text("\n".join(lines) + "\n")
+    calls = sorted(record.calls, key=lambda call: call.sent)
+    (target / "calls.txt").write_text("\n".join(map(str, calls)) + "\n")
+
+
+def _draw(seed: int, options: argparse.Namespace) -> Schedule:
+    if options.faults:
+        return draw_faults_schedule(seed, options.seconds, options.sidecars)
+    if options.core_freezes:
+        return draw_core_freezes_schedule(seed, options.seconds, options.sidecars)
+    return draw_schedule(seed, options.seconds, options.sidecars)
 
 
 def main() -> int:
@@ -97,22 +117,28 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--sidecars", type=int, default=2, help="of each region")
     parser.add_argument("--clients", type=int, default=6, help="of each region")
-    parser.add_argument("--faults", action="store_true", help="servers fail and routes' rules change")
+    modes = parser.add_mutually_exclusive_group()
+    modes.add_argument("--faults", action="store_true", help="servers fail and routes' rules change")
+    modes.add_argument("--core-freezes", action="store_true", help="control processes freeze beside locks")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed plays")
     options = parser.parse_args()
     broken = 0
     for seed in options.seeds:
-        draw_seed = draw_faults_schedule if options.faults else draw_schedule
-        schedule = draw_seed(seed, options.seconds, options.sidecars)
-        server_faults = SERVER_FAULTS if options.faults else None
+        schedule = _draw(seed, options)
         with tempfile.TemporaryDirectory() as play_folder:
             play = Play(
-                schedule, Path(play_folder), options.sidecars, options.clients, server_faults=server_faults
+                schedule,
+                Path(play_folder),
+                options.sidecars,
+                options.clients,
+                server_faults=SERVER_FAULTS if options.faults else None,
+                lock_use=LONG_HOLDS if options.core_freezes else SHORT_HOLDS,
+                keeps_connections=options.core_freezes,
             )
             record = asyncio.run(play.run())
             findings = check(record)
             if findings and options.logs:
-                _save_failure(options.logs, Path(play_folder), schedule, findings)
+                _save_failure(options.logs, Path(play_folder), schedule, record, findings)
         print(summarize(schedule, record, findings), flush=True)
         broken += bool(findings)
     print(f"{len(options.seeds)} seeds, {broken} with a rule broken")
--- a/rig/system/soak/applications.py
+++ b/rig/system/soak/applications.py
@@ -7,7 +7,7 @@
 import math
 import random
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
@@ -20,8 +20,8 @@
 WATCH_WAIT_S = 1.0  # for which a control process holds a watch open
 RETRY_DELAY_S = 0.1  # between attempts
 MAX_ATTEMPTS = 6
+FINAL_HOLD_S = 0.3  # of the final call to each lock
 FINAL_TIMEOUT_S = 10.0  # within which each final call must have a clear answer
-HOLD_RANGE_S = (0.3, 1.5)
 LOCKS = tuple(f"l{number}" for number in range(4))
 COUNTERS = ("n0", "n1")
 KEYS = tuple(f"{group}.{name}" for group in ("g", "h") for name in ("a", "b", "c"))
@@ -31,20 +31,41 @@
 Answer = dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class LockUse:
+    """How holders use locks.
+
+    Attributes:
+        hold_range_s: The shortest and the longest lease, in seconds.
+        reacquires: Whether a holder whose release was not answered acquires the lock again at once.
+    """
+
+    hold_range_s: tuple[float, float]
+    reacquires: bool
+
+
+SHORT_HOLDS = LockUse((0.3, 1.5), reacquires=False)
+LONG_HOLDS = LockUse((0.5, 6.0), reacquires=True)
+
+
 class Applications:
     """Several applications that call concurrently and record their calls."""
 
-    def __init__(self, deployment: Deployment, record: Record, rng: random.Random) -> None:
+    def __init__(
+        self, deployment: Deployment, record: Record, rng: random.Random, lock_use: LockUse = SHORT_HOLDS
+    ) -> None:
         """Create the applications.
 
         Args:
             deployment: Deployment whose control processes are called.
             record: Record that receives the calls.
             rng: Random source.
+            lock_use: How holders use locks.
         """
         self._deployment = deployment
         self._record = record
         self._rng = rng
+        self._lock_use = lock_use
         self._value_count = 0
 
     async def run(self, session: aiohttp.ClientSession, until: float) -> None:
@@ -61,24 +82,32 @@
 
     async def _hold_locks(self, session: aiohttp.ClientSession, holder: str, until: float) -> None:
         while time.monotonic() < until:
-            lock, hold_s = self._rng.choice(LOCKS), self._rng.uniform(*HOLD_RANGE_S)
+            lock, hold_s = self._rng.choice(LOCKS), self._rng.uniform(*self._lock_use.hold_range_s)
             call = Call(Operation.ACQUIRE, lock, 0.0, holder=holder, hold_s=hold_s)
-            granted = await self._call_until_decided(session, call)
-            if granted.is_done:
-                await self._hold(session, granted)
+            must_acquire = True
+            while must_acquire and time.monotonic() < until:
+                granted = await self._call_until_decided(session, call)
+                is_released = await self._hold(session, granted) if granted.is_done else True
+                must_acquire = self._lock_use.reacquires and not is_released
             await asyncio.sleep(self._rng.uniform(0.0, RETRY_DELAY_S))
 
-    async def _hold(self, session: aiohttp.ClientSession, granted: Call) -> None:
-        """Renew a lock a few times, sometimes too late, and then release it or let it expire."""
+    async def _hold(self, session: aiohttp.ClientSession, granted: Call) -> bool:
+        """Renew a lock a few times, sometimes too late, and then release it or let it expire.
+
+        Returns:
+            False if the release was sent and not answered.
+        """
         until = granted.sent + granted.hold_s
         for _ in range(self._rng.randint(0, 3)):
             await asyncio.sleep(self._rng.uniform(0.0, 1.1) * granted.hold_s)
             renewal = await self._attempt(session, replace(_copy_unsent(granted), operation=Operation.RENEW))
             if not renewal.is_done or renewal.ended > until:
-                return
+                return True
             until = max(until, renewal.sent + renewal.hold_s)
-        if self._rng.random() < 0.7:
-            await self._attempt(session, replace(_copy_unsent(granted), operation=Operation.RELEASE))
+        if self._rng.random() >= 0.7:
+            return True
+        release = replace(_copy_unsent(granted), operation=Operation.RELEASE)
+        return (await self._attempt(session, release)).outcome is not Outcome.UNKNOWN
 
     async def _write_keys(self, session: aiohttp.ClientSession, until: float) -> None:
         revisions = dict.fromkeys(KEYS, 0)
@@ -110,7 +139,7 @@
 
     async def _make_final_calls(self, session: aiohttp.ClientSession) -> None:
         calls = [
-            *(Call(Operation.ACQUIRE, lock, 0.0, holder="last", hold_s=HOLD_RANGE_S[0]) for lock in LOCKS),
+            *(Call(Operation.ACQUIRE, lock, 0.0, holder="last", hold_s=FINAL_HOLD_S) for lock in LOCKS),
             *(Call(Operation.NUMBER, name, 0.0) for name in COUNTERS),
             *(Call(Operation.GET, key, 0.0) for key in KEYS),
         ]
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -16,7 +16,7 @@
 
 from rig.system.deployment import NEXT_PROGRAM, PROGRAM, REGIONS, Deployment, Machine, Program
 from rig.system.fleet import until_ready
-from rig.system.soak.applications import Applications
+from rig.system.soak.applications import SHORT_HOLDS, Applications, LockUse
 from rig.system.soak.clients import KINDS, Client, Operator, standing_rules
 from rig.system.soak.record import ProcessLifetime, Record
 from rig.system.soak.route_changes import RouteRule, RuleSource
@@ -137,6 +137,8 @@
         program: Program = PROGRAM,
         updated: Program = NEXT_PROGRAM,
         server_faults: ServerFaults | None = None,
+        lock_use: LockUse = SHORT_HOLDS,
+        keeps_connections: bool = False,
     ) -> None:
         """Create the deployment and its clients.
 
@@ -149,6 +151,8 @@
             updated: Version that they are updated to.
             server_faults: How the servers fail requests, while changes touch the routes' rules; `None`
                 if they do not.
+            lock_use: How the applications use locks.
+            keeps_connections: Whether all callers use connections for as long as they are open.
         """
         self.record = Record(GRACE_S)
         self._schedule = schedule
@@ -158,12 +162,13 @@
         self._rng = random.Random(schedule.seed)
         # Separate, so that the draws of the other parts stay the same.
         applications_rng = random.Random(f"applications {schedule.seed}")
-        self._applications = Applications(self._deployment, self.record, applications_rng)
+        self._applications = Applications(self._deployment, self.record, applications_rng, lock_use)
         operator_rng = random.Random(self._rng.random())
         self._operator = Operator(self._deployment, self.record, operator_rng, self._rules(server_faults))
-        keeps_connection = server_faults is not None
+        self._keeps_connections = keeps_connections
+        keeps_fronts = keeps_connections or server_faults is not None
         self._clients = [
-            Client(self._deployment, region, self.record, random.Random(self._rng.random()), keeps_connection)
+            Client(self._deployment, region, self.record, random.Random(self._rng.random()), keeps_fronts)
             for region in REGIONS
             for _ in range(clients)
         ]
@@ -184,7 +189,7 @@
     async def run(self) -> Record:
         """Play the schedule and return its record."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = aiohttp.TCPConnector(limit=0, force_close=not self._keeps_connections)
         async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
             try:
                 await self._servers.start()
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -33,6 +33,7 @@
 SERVER_ACTIONS = (Action.SERVER_CRASH, Action.SERVER_REUSE, Action.SERVER_FREEZE)
 SERVER_FAULT_S = (0.5, 4.0)  # how long a server is away or frozen
 LONG_FREEZE_S = (2.0, 6.0)  # of a sidecar: longer than a change may take to be active
+CORE_FREEZE_S = (0.3, 4.0)  # of a control process
 UPDATE_GAP_S = 1.5  # between the updates of two machines
 
 
@@ -123,6 +124,30 @@
     return Schedule(seed, duration_s, False, tuple(ordered))
 
 
+def draw_with_core_freezes(
+    seed: int, duration_s: float, sidecars: list[str], controls: list[str], regions: list[str]
+) -> Schedule:
+    """Draw a schedule with failures, and with freezes of control processes that may overlap.
+
+    Args:
+        seed: Seed of the random source.
+        duration_s: The duration of the play.
+        sidecars: Names of the sidecars.
+        controls: Names of the control processes.
+        regions: Names of the regions.
+    """
+    rng = random.Random(f"core freezes {seed}")
+    even_seed = 2 * seed  # with failures
+    steps = list(draw(even_seed, duration_s, sidecars, controls, regions).steps)
+    until = duration_s - SETTLE_S
+    steps += [
+        Step(at, Action.FREEZE, rng.choice(controls), rng.uniform(*CORE_FREEZE_S))
+        for at in _draw_times(rng, until, 1.0, 5.0)
+    ]
+    ordered = sorted((step for step in steps if step.at < until), key=lambda step: step.at)
+    return Schedule(seed, duration_s, False, tuple(ordered))
+
+
 def draw_update(seed: int, sidecars: list[str], controls: list[str], with_versions: bool = True) -> Schedule:
     """Draw a schedule that updates all machines one by one and then reverts them, with configuration changes.
 
