Locks: a holder that acquires its lock again gets a new fencing token (ONE)

Now each take is a grant with a token of its own (its write's sequence), with a lease that is never shorter than what is left. A finish or a renewal under the token before changes nothing.

The history checker took a new token within a hold for an impossible answer; its lock now has both, and knows that an unanswered take has replaced the token. A lock that is taken again by its holder isn't logged as expired.

--- a/fordtrestle/control_api/coordination_service.py
+++ b/fordtrestle/control_api/coordination_service.py
@@ -11,6 +11,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import eliot
 
@@ -21,7 +22,7 @@
     Overloaded,
     Unavailable,
 )
-from fordtrestle.coordination.changes import GrantLock
+from fordtrestle.coordination.changes import CoordinationChange, GrantLock
 from fordtrestle.coordination.commands import Command
 from fordtrestle.coordination.evaluation import Evaluation, EvaluationContext, evaluate
 from fordtrestle.coordination.observation_clock import ObservationClock
@@ -31,6 +32,20 @@
 MAX_COMMANDS = 1024  # in flight at a time; further callers are asked to retry
 
 
+@dataclass(frozen=True, slots=True)
+class _ExpiredHold:
+    """A hold that ended without a release, and the holder that got the lock after it."""
+
+    lock: str
+    holder: str
+    next_holder: str
+
+    def log(self) -> None:
+        eliot.log_message(
+            "locks:expired-hold", lock=self.lock, holder=self.holder, next_holder=self.next_holder
+        )
+
+
 class CoordinationService:
     """Executes applications' commands while this store is the primary.
 
@@ -100,19 +115,24 @@
         node, change = self._node, evaluation.change
         if change is None:
             return evaluation.answer
-        before = node.durable.state.coordination
-        write = node.propose(change, self._replicator.now())
+        now = self._replicator.now()
+        expired = self._expired_hold(change, now)
+        write = node.propose(change, now)
         if write is None:
             return Unavailable()
-        if isinstance(change, GrantLock) and change.name in before.locks:
-            expired = before.locks[change.name]
-            eliot.log_message(
-                "locks:expired-hold", lock=change.name, holder=expired.holder, next_holder=change.holder
-            )
+        if expired:
+            expired.log()
         self._replicator.pump()
         await self._wait_until(lambda: self._is_decided(write), deadline)
         return evaluation.answer if node.has_committed(write) else OutcomeUnknown()
 
+    def _expired_hold(self, change: CoordinationChange, now: float) -> _ExpiredHold | None:
+        """Return the hold that a grant replaces because its lease has expired, if any."""
+        if not isinstance(change, GrantLock) or self._clock.remaining_ms(change.name, now) > 0:
+            return None
+        lock = self._node.durable.state.coordination.locks.get(change.name)
+        return _ExpiredHold(change.name, lock.holder, change.holder) if lock else None
+
     async def _confirm(self, answer: Answer, deadline: float) -> Answer:
         """Return an answer that needs no write once it is confirmed, or `Unavailable` if it is not."""
         node = self._node
--- a/fordtrestle/coordination/answers.py
+++ b/fordtrestle/coordination/answers.py
@@ -10,8 +10,7 @@
     """The caller holds the lock.
 
     Attributes:
-        fence: The fencing token. It exceeds those of all earlier grants and stays the same while this holder
-            has the lock.
+        fence: The fencing token. It exceeds those of all earlier grants, also to this holder.
     """
 
     fence: int
--- a/fordtrestle/coordination/commands.py
+++ b/fordtrestle/coordination/commands.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AcquireLock:
-    """Acquires a lock, or extends the lease if the holder has it already.
+    """Acquires a lock; a holder that has it already gets a new fencing token, and its lease is extended.
 
     Attributes:
         name: The lock's name.
--- a/fordtrestle/coordination/evaluation.py
+++ b/fordtrestle/coordination/evaluation.py
@@ -97,19 +97,23 @@
 
 
 def _acquire(command: AcquireLock, context: EvaluationContext) -> Evaluation:
+    """Evaluate an acquisition.
+
+    A holder that acquires its lock again gets a new fencing token. Otherwise a release that it sent before,
+    and that arrives late, would end the new hold.
+    """
     state, clock, now = context.state, context.clock, context.now
     lock = state.locks.get(command.name)
     remaining_ms = clock.remaining_ms(command.name, now)
-    if lock and remaining_ms > 0:
-        if lock.holder != command.holder:
-            return Evaluation(LockUnavailable())
-        return Evaluation(LockGranted(lock.fence), _extend(command.name, command.hold_ms, remaining_ms))
+    if lock and remaining_ms > 0 and lock.holder != command.holder:
+        return Evaluation(LockUnavailable())
     evicted = ""
     if lock is None and len(state.locks) >= MAX_LOCKS:
         evicted = clock.expired_lock(now) or ""
         if not evicted:
             return Evaluation(Overloaded())
-    grant = GrantLock(command.name, command.holder, command.hold_ms, evicted)
+    hold_ms = _never_shorter(command.hold_ms, remaining_ms)
+    grant = GrantLock(command.name, command.holder, hold_ms, evicted)
     return Evaluation(LockGranted(context.sequence + 1), grant)
 
 
@@ -119,15 +123,16 @@
     is_held = lock and (lock.holder, lock.fence) == (command.holder, command.fence)
     if not is_held or remaining_ms <= 0:
         return Evaluation(LockUnavailable())
-    return Evaluation(LockRenewed(), _extend(command.name, command.hold_ms, remaining_ms))
+    extension = ExtendLock(command.name, _never_shorter(command.hold_ms, remaining_ms))
+    return Evaluation(LockRenewed(), extension)
 
 
-def _extend(name: str, hold_ms: float, remaining_ms: float) -> ExtendLock:
-    """Extend a lease, but never shorten it.
+def _never_shorter(hold_ms: float, remaining_ms: float) -> float:
+    """Return a holder's new lease, which is not shorter than what remains of the one that it has.
 
-    The answer to the extension may get lost, and the holder then relies on the longer lease that it had.
+    The answer may get lost, and the holder then relies on the longer lease.
     """
-    return ExtendLock(name, max(hold_ms, remaining_ms))
+    return max(hold_ms, remaining_ms)
 
 
 def _release(command: ReleaseLock, context: EvaluationContext) -> Evaluation:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -281,6 +281,14 @@
         "FreeLock(command.name) if is_held else None",
         "FreeLock(command.name) if lock else None",
     ),
+    "a release ends only the hold that it was sent for": _removal(
+        COORDINATION_EVALUATION,
+        COORDINATION_LOCKS,
+        "    grant = GrantLock(command.name, command.holder, hold_ms, evicted)\n",
+        "    if lock and remaining_ms > 0:\n"
+        "        return Evaluation(LockGranted(lock.fence), ExtendLock(command.name, hold_ms))\n"
+        "    grant = GrantLock(command.name, command.holder, hold_ms, evicted)\n",
+    ),
     "a resent put is recognized by its history": _removal(
         "coordination/state.py",
         COORDINATION_KEYS,
--- a/tests/rig/coordination/test_checker.py
+++ b/tests/rig/coordination/test_checker.py
@@ -59,6 +59,19 @@
         acquire("b", 0.1, 0.2, 0, REFUSED),
         acquire("a", 0.5, 0.6, 1),
     ],
+    "a holder that acquires again gets the same fence, or a higher one that its release has to name": [
+        acquire("a", 0, 0.1, 1, hold_s=9.0),
+        acquire("a", 0.2, 0.3, 1),
+        acquire("a", 0.4, 0.5, 2, hold_s=9.0),
+        release("a", 0.6, 0.7, 2),
+        acquire("b", 0.8, 0.9, 3),
+    ],
+    "a release under the fence before an unanswered acquisition ends nothing": [
+        acquire("a", 0, 0.1, 1),
+        acquire("a", 0.2, LOST, 0, UNKNOWN),
+        release("a", 0.3, 0.4, 1),
+        acquire("b", 0.5, 0.6, 0, REFUSED),
+    ],
     "numbers have gaps": [number(0, 1, 1), number(2, 3, 7), number(2, 3, 5)],
     "a put is sent again after its answer was lost": [
         put("x", 0, LOST, 0, UNKNOWN),
@@ -87,6 +100,23 @@
     ),
     "a fence that falls": ("ONE", [acquire("a", 0, 0.1, 5), acquire("b", 3, 3.1, 4)]),
     "a fence for two": ("ONE", [acquire("a", 0, 0.1, 5), acquire("b", 3, 3.1, 5)]),
+    "a late release that ends the next hold of its sender": (
+        "ONE",
+        [
+            acquire("a", 0, 0.1, 1),
+            Call(Operation.RELEASE, "l", 0.2, LOST, UNKNOWN, holder="a", fence=1),
+            acquire("a", 1.3, 1.4, 1, hold_s=9.0),
+            acquire("b", 3.0, 3.1, 2),
+        ],
+    ),
+    "a fence that falls for its holder": (
+        "LINEARIZABLE",
+        [acquire("a", 0, 0.1, 5), acquire("a", 0.2, 0.3, 4)],
+    ),
+    "a fence that an unanswered acquisition has replaced": (
+        "LINEARIZABLE",
+        [acquire("a", 0, 0.1, 1), release("a", 0.2, 0.3, 1), renew("a", 0.4, 0.5, 1)],
+    ),
     "a free lock that is refused": ("LINEARIZABLE", [acquire("a", 0, 0.1, 0, REFUSED)]),
     "a number given twice": ("ORDER", [number(0, 1, 1), number(0, 1, 1)]),
     "a number that falls": ("ORDER", [number(0, 1, 2), number(2, 3, 1)]),
