--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -129,6 +129,8 @@
 ) -> Schedule:
     """Draw a schedule with failures, and with freezes of control processes that may overlap.
 
+    In even seeds nothing else happens to control processes, so that locks are granted most of the time.
+
     Args:
         seed: Seed of the random source.
         duration_s: The duration of the play.
@@ -137,8 +139,10 @@
         regions: Names of the regions.
     """
     rng = random.Random(f"core freezes {seed}")
-    even_seed = 2 * seed  # with failures
-    steps = list(draw(even_seed, duration_s, sidecars, controls, regions).steps)
+    seed_with_failures = 2 * seed
+    steps = list(draw(seed_with_failures, duration_s, sidecars, controls, regions).steps)
+    if seed % 2 == 0:
+        steps = [step for step in steps if step.target not in controls]
     until = duration_s - SETTLE_S
     steps += [
         Step(at, Action.FREEZE, rng.choice(controls), rng.uniform(*CORE_FREEZE_S))
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -8,20 +8,28 @@
 
 import pytest
 
-from benchmarks.system_soak import draw_faults_schedule, draw_schedule, summarize
+from benchmarks.system_soak import (
+    draw_core_freezes_schedule,
+    draw_faults_schedule,
+    draw_schedule,
+    summarize,
+)
 from rig.system.model_server import Run
+from rig.system.soak.applications import LONG_HOLDS
 from rig.system.soak.checks import check
 from rig.system.soak.clients import KINDS, standing_rules
 from rig.system.soak.play import Play
 from rig.system.soak.record import ClientRequest, ConfigurationRead, DirectoryAnswer, ProcessLifetime, Record
 from rig.system.soak.route_changes import ConfigurationVersion, RouteRule, RuleSource, allowed_runs
-from rig.system.soak.schedule import PLANNED, SERVER_ACTIONS, UPDATES, Action, draw_update
+from rig.system.soak.schedule import CORE_FREEZE_S, PLANNED, SERVER_ACTIONS, UPDATES, Action, draw_update
 from rig.system.soak.servers import SERVER_FAULTS
 
 CHAT, NOTE, ORDER, LONG = KINDS
 DURATION_S = 20.0
 PLANNED_SEED, FAILURE_SEED = 7, 4
 SERVER_FAULT_SEEDS = (6, 10)  # without a frozen control process
+CORE_FREEZE_SEEDS = (2, 7)
+CORE_FREEZES_DURATION_S = 50.0
 FRONT, OTHER = "a:80", "b:80"
 
 
@@ -209,6 +217,27 @@
     assert not findings, summarize(schedule, play_record, findings)
 
 
+def test_a_schedule_with_core_freezes_has_them_beside_failures_of_the_core_or_alone():
+    for seed in range(1, 11):
+        schedule = draw_core_freezes_schedule(seed, 60.0, 2)
+        assert schedule == draw_core_freezes_schedule(seed, 60.0, 2)
+        on_controls = [step for step in schedule.steps if step.target.startswith("control-")]
+        freezes = [step for step in on_controls if step.action is Action.FREEZE]
+        assert len(freezes) >= 10
+        assert all(CORE_FREEZE_S[0] <= step.for_s <= CORE_FREEZE_S[1] for step in freezes)
+        assert (len(freezes) == len(on_controls)) == (seed % 2 == 0)
+        assert {Action.CHANGE, Action.ROLL} <= {step.action for step in schedule.steps}
+
+
+@pytest.mark.parametrize("seed", CORE_FREEZE_SEEDS)
+def test_a_seed_with_core_freezes_is_played_and_breaks_nothing(tmp_path, seed):
+    schedule = draw_core_freezes_schedule(seed, CORE_FREEZES_DURATION_S, 2)
+    play = Play(schedule, tmp_path, sidecars=2, clients=2, lock_use=LONG_HOLDS, keeps_connections=True)
+    play_record = asyncio.run(play.run())
+    findings = check(play_record)
+    assert not findings, summarize(schedule, play_record, findings)
+
+
 def test_a_seed_draws_the_same_schedule_and_odd_ones_planned_work_only():
     assert draw_schedule(3, 60.0, 2) == draw_schedule(3, 60.0, 2) != draw_schedule(5, 60.0, 2)
     assert {step.action for step in draw_schedule(3, 60.0, 2).steps} == PLANNED
