Late calls: an epoch change, callers that died; a test that couldn't fail is replaced

Read again: the test of a command that waits for a takeover passed without the deadline's check, as the wait itself had ended. It opens the epoch and passes the deadline between two turns of the command's task now, and fails without the check, as do its neighbours.

The order of a schedule's steps and the wait for handled requests stand once. No product code changed.

--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -64,6 +64,11 @@
     return [Step(at + gap_s * (index // batch_size), action, name) for index, name in enumerate(order)]
 
 
+def _order(steps: list[Step], until: float) -> tuple[Step, ...]:
+    """Return the steps before a time in their order."""
+    return tuple(sorted((step for step in steps if step.at < until), key=lambda step: step.at))
+
+
 def draw(
     seed: int, duration_s: float, sidecars: list[str], controls: list[str], regions: list[str]
 ) -> Schedule:
@@ -87,8 +92,7 @@
             action = rng.choice((Action.KILL, Action.FREEZE))
             target = rng.choice(sidecars + controls)
             steps.append(Step(at, action, target, rng.uniform(*FREEZE_S)))
-    ordered = sorted((step for step in steps if step.at < until), key=lambda step: step.at)
-    return Schedule(seed, duration_s, planned_only, tuple(ordered))
+    return Schedule(seed, duration_s, planned_only, _order(steps, until))
 
 
 def draw_with_server_faults(
@@ -120,8 +124,7 @@
         Step(at, Action.FREEZE, rng.choice(sidecars), rng.uniform(*LONG_FREEZE_S))
         for at in _draw_times(rng, until, 3.0, 8.0)
     ]
-    ordered = sorted((step for step in steps if step.at < until), key=lambda step: step.at)
-    return Schedule(seed, duration_s, False, tuple(ordered))
+    return Schedule(seed, duration_s, False, _order(steps, until))
 
 
 def draw_with_core_freezes(
@@ -148,8 +151,7 @@
         Step(at, Action.FREEZE, rng.choice(controls), rng.uniform(*CORE_FREEZE_S))
         for at in _draw_times(rng, until, 1.0, 5.0)
     ]
-    ordered = sorted((step for step in steps if step.at < until), key=lambda step: step.at)
-    return Schedule(seed, duration_s, False, tuple(ordered))
+    return Schedule(seed, duration_s, False, _order(steps, until))
 
 
 def draw_update(seed: int, sidecars: list[str], controls: list[str], with_versions: bool = True) -> Schedule:
--- a/tests/control_api/test_arrival_times.py
+++ b/tests/control_api/test_arrival_times.py
@@ -45,6 +45,10 @@
         self._runner = await serve_http(application, Address("127.0.0.1", 0), loop.poll_times)
         return self._runner.addresses[0][1]
 
+    async def until_handled(self, requests: int) -> None:
+        while len(self.connected) < requests:
+            await asyncio.sleep(TICK_S)
+
     async def stop(self) -> None:
         await self._runner.cleanup()
 
@@ -126,8 +130,7 @@
         connection.sendall(request("POST", "/", b"{}"))
         await asyncio.sleep(0.1)
         endpoint.may_answer.set()
-        while len(endpoint.connected) < 2:
-            await asyncio.sleep(TICK_S)
+        await endpoint.until_handled(2)
         assert endpoint.deadlines[0] > time.monotonic()
         assert endpoint.deadlines[1] == float("-inf")
         connection.close()
@@ -139,8 +142,7 @@
     async def steps(endpoint, port):
         connection = connect(port)
         connection.sendall(2 * request("POST", "/", b"{}"))
-        while len(endpoint.connected) < 2:
-            await asyncio.sleep(TICK_S)
+        await endpoint.until_handled(2)
         received = b""
         while part := await read_answer(connection):
             received += part
--- a/tests/coordination/test_hard_cases.py
+++ b/tests/coordination/test_hard_cases.py
@@ -7,18 +7,20 @@
 import pytest
 
 from fordtrestle.control_api.coordination_service import CoordinationService
-from fordtrestle.coordination.answers import KeyFound, KeyWritten, NotPrimary, OutcomeUnknown, Unavailable
+from fordtrestle.coordination.answers import KeyFound, KeyWritten, OutcomeUnknown, Unavailable
 from fordtrestle.coordination.changes import AdvanceCounter, WriteKey
 from fordtrestle.coordination.commands import GetKey, IssueNumber, PutKey
 from fordtrestle.coordination.observation_clock import ObservationClock
+from fordtrestle.replication.epoch_plan import EpochPlan
 from fordtrestle.replication.epochs import Term
 from fordtrestle.replication.events import Reason
-from fordtrestle.replication.messages import Append, Appended, HeartbeatAck, Prepared
+from fordtrestle.replication.messages import Append, Appended, HeartbeatAck
 from tests.control_api.world import VirtualReplicator
 from tests.replication.serving_core import ServingCore
 
 TURNS = 20
 CALL_TIMEOUT_S = 1.5
+TICK_S = 0.05
 
 
 class Calls:
@@ -40,9 +42,9 @@
             self.core.exchange_all(lost=lambda envelope: isinstance(envelope.message, lost))
 
     async def pass_time(self, seconds, *lost):
-        for _ in range(int(seconds / 0.05)):
+        for _ in range(int(seconds / TICK_S)):
             for machine in self.core.machines:
-                self.core.tick(machine, 0.05)
+                self.core.tick(machine, TICK_S)
             await self.exchange(*lost)
 
 
@@ -61,6 +63,12 @@
     asyncio.run(run())
 
 
+async def check_not_started(calls, command):
+    await calls.exchange()
+    assert command.result() == Unavailable()
+    assert not calls.core.a.node.durable.state.coordination.counters
+
+
 @pytest.mark.parametrize("late_s", [CALL_TIMEOUT_S, CALL_TIMEOUT_S + 3.0])
 def test_a_command_is_not_started_after_its_deadline(late_s):
     # The primary stood still with the command in its queue, and its caller has given it up.
@@ -68,9 +76,7 @@
         calls = Calls()
         command = calls.begin(IssueNumber("n"))
         calls.core.a.now += late_s
-        await calls.exchange()
-        assert command.result() == Unavailable()
-        assert not calls.core.a.node.durable.state.coordination.counters
+        await check_not_started(calls, command)
 
     asyncio.run(run())
 
@@ -78,28 +84,28 @@
 def test_a_command_whose_caller_has_disconnected_is_not_started():
     async def run():
         calls = Calls()
-        command = calls.begin(IssueNumber("n"), lambda: False)
-        await calls.exchange()
-        assert command.result() == Unavailable()
-        assert not calls.core.a.node.durable.state.coordination.counters
+        await check_not_started(calls, calls.begin(IssueNumber("n"), lambda: False))
 
     asyncio.run(run())
 
 
-def test_a_command_that_waits_for_a_takeover_keeps_its_deadline():
+def test_a_command_that_waits_for_an_epoch_change_is_not_started_after_its_deadline():
+    # The epoch opens and the deadline passes before the command's task has its next turn.
     async def run():
         calls = Calls()
-        node = calls.core.a.node
-        node.primary.step_down(Reason.OUT_OF_TOUCH, calls.core.a.now)
-        calls.core.run_candidate(calls.core.a)  # no other store answers: the epoch change stays open
+        core, node = calls.core, calls.core.a.node
+        accepted = node.durable.accepted_epoch
+        node.candidate.start(EpochPlan(accepted, accepted.witnesses, Reason.PRIMARY_LOST), core.a.now)
         command = calls.begin(IssueNumber("n"))
-        await calls.exchange(Prepared)
-        calls.core.a.now += CALL_TIMEOUT_S + 0.1
-        calls.core.run_candidate(calls.core.a, calls.core.b, calls.core.c)
-        await calls.exchange()
-        assert command.done()
-        assert command.result() in (Unavailable(), NotPrimary())
-        assert not node.durable.state.coordination.counters
+        await asyncio.sleep(0)
+        assert (node.is_primary, node.is_ready, command.done()) == (True, False, False)
+        core.pump(core.a)
+        for _ in range(round(CALL_TIMEOUT_S / TICK_S) + 1):
+            for machine in core.machines:
+                core.tick(machine, TICK_S)
+            core.exchange_all()
+        assert node.is_ready
+        await check_not_started(calls, command)
 
     asyncio.run(run())
 
--- a/tests/roles/test_late_calls.py
+++ b/tests/roles/test_late_calls.py
@@ -17,6 +17,8 @@
 
 TEST_TIMEOUT_S = 60.0
 FREEZE_S = 3.0
+SHORT_FREEZE_S = 0.4  # less than a caller waits
+DEAD_CALLERS = 5
 SETTLE_S = 1.5  # after which a call that was read late has been executed, if it ever is
 RETRY_S = 0.1
 HOLD_MS = 30_000
@@ -110,18 +112,19 @@
 }
 
 
-@pytest.mark.parametrize("name", FROZEN)
-def test_a_call_that_waited_while_a_process_stood_still_is_not_executed(tmp_path, name):
+def run_on_core(folder, steps):
+    """Run `steps` on three control processes that serve, and stop them afterwards."""
+
     async def run():
         timeout = aiohttp.ClientTimeout(total=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            core = Core(tmp_path, session)
+            core = Core(folder, session)
             try:
                 async with asyncio.timeout(TEST_TIMEOUT_S):
                     for machine in core.machines:
                         await machine.start(bootstrap=True)
                     await core.until_done(NUMBER, {})
-                    await play(core, *FROZEN[name])
+                    await steps(core)
             finally:
                 for machine in core.machines:
                     if machine.process and machine.process.returncode is None:
@@ -129,3 +132,28 @@
                 await core.deployment.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", FROZEN)
+def test_a_call_that_waited_while_a_process_stood_still_is_not_executed(tmp_path, name):
+    run_on_core(tmp_path, lambda core: play(core, *FROZEN[name]))
+
+
+@pytest.mark.parametrize("is_primary_asked", [True, False])
+def test_a_call_of_a_caller_that_died_while_a_process_stood_still_is_not_executed(tmp_path, is_primary_asked):
+    # Within its second: the age of the call alone would let it act, after the caller has come back.
+    async def steps(core):
+        primary, others = await core.primary_and_others()
+        asked = primary if is_primary_asked else others[0]
+        number = (await core.until_done(NUMBER, {}))["value"]
+        await asyncio.sleep(1.0)
+        asked.process.send_signal(signal.SIGSTOP)
+        late_calls = [await send_without_waiting(asked, NUMBER, {}) for _ in range(DEAD_CALLERS)]
+        for writer in late_calls:
+            writer.close()
+        await asyncio.sleep(SHORT_FREEZE_S)
+        asked.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(SETTLE_S)
+        assert (await core.until_done(NUMBER, {}))["value"] == number + 1, "a late call was executed"
+
+    run_on_core(tmp_path, steps)
