--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -1,14 +1,15 @@
 """Soak test of the system: rolls, kills, freezes, changes and evacuations under traffic, checked by rules.
 
     python -m benchmarks.system_soak --seeds 1-20 [--seconds 30] [--sidecars 2] [--clients 6] [--logs DIR]
-        [--faults | --core-freezes | --crowds]
+        [--faults | --overlaps | --core-freezes | --crowds] [--standing-rules] [--checkout DIR]
 
-With `--faults` servers fail, freeze, end and are replaced, and changes touch the routes' rules. With
+With `--faults` servers fail, freeze, end and are replaced, and changes touch the routes' rules, unless
+`--standing-rules` is given. With `--overlaps` there are also series of signals and changes that overlap. With
 `--core-freezes` control processes freeze for 0.3 to 4 s while locks are held for up to 6 s. With `--crowds`
-clients that do not keep to the protocol come to processes with low limits. Without `--faults` and
-`--core-freezes` odd seeds have planned work only. One line is printed for each seed. The exit code is 1 if a
-rule is broken. `--logs` keeps the logs of the processes, the schedule and the applications' calls of failed
-plays.
+clients that do not keep to the protocol come to processes with low limits. Without a mode, and with
+`--crowds`, odd seeds have planned work only. One line is printed for each seed. The exit code is 1 if a rule
+is broken. `--logs` keeps the logs of the processes, the schedule and the applications' calls of failed plays.
+`--checkout` plays the program of another checkout.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 from pathlib import Path
 
 from rig.coordination.history import Outcome
-from rig.system.deployment import REGIONS
+from rig.system.deployment import REGIONS, Program
 from rig.system.soak.applications import LONG_HOLDS, SHORT_HOLDS
 from rig.system.soak.checks import Finding, check
 from rig.system.soak.play import Play
@@ -32,6 +33,7 @@
     draw,
     draw_with_core_freezes,
     draw_with_crowds,
+    draw_with_overlaps,
     draw_with_server_faults,
 )
 from rig.system.soak.servers import SERVER_FAULTS, faulty_runs, server_names
@@ -61,6 +63,13 @@
     return draw_with_server_faults(seed, seconds, names, controls, list(REGIONS), server_names())
 
 
+def draw_overlaps_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
+    """Draw the schedule of a seed with series of signals and changes that overlap."""
+    names = sidecar_names(sidecars)
+    controls = [f"control-{region}" for region in REGIONS]
+    return draw_with_overlaps(seed, seconds, names, controls, list(REGIONS), server_names())
+
+
 def draw_core_freezes_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
     """Draw the schedule of a seed with freezes of control processes."""
     controls = [f"control-{region}" for region in REGIONS]
@@ -115,6 +124,8 @@
 def _draw(seed: int, options: argparse.Namespace) -> Schedule:
     if options.faults:
         return draw_faults_schedule(seed, options.seconds, options.sidecars)
+    if options.overlaps:
+        return draw_overlaps_schedule(seed, options.seconds, options.sidecars)
     if options.core_freezes:
         return draw_core_freezes_schedule(seed, options.seconds, options.sidecars)
     if options.crowds:
@@ -135,8 +146,11 @@
     parser.add_argument("--clients", type=int, default=6, help="of each region")
     modes = parser.add_mutually_exclusive_group()
     modes.add_argument("--faults", action="store_true", help="servers fail and routes' rules change")
+    modes.add_argument("--overlaps", action="store_true", help="faults, and series of signals and changes")
     modes.add_argument("--core-freezes", action="store_true", help="control processes freeze beside locks")
     modes.add_argument("--crowds", action="store_true", help="clients that do not keep to the protocol")
+    parser.add_argument("--standing-rules", action="store_true", help="changes leave the routes' rules")
+    parser.add_argument("--checkout", type=Path, help="folder of the program that is played")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed plays")
     options = parser.parse_args()
     broken = 0
@@ -148,10 +162,12 @@
                 Path(play_folder),
                 options.sidecars,
                 options.clients,
-                server_faults=SERVER_FAULTS if options.faults else None,
+                program=Program(checkout=options.checkout),
+                server_faults=SERVER_FAULTS if options.faults or options.overlaps else None,
                 lock_use=LONG_HOLDS if options.core_freezes else SHORT_HOLDS,
                 keeps_connections=options.core_freezes or options.crowds,
                 has_crowds=options.crowds,
+                changes_rules=not options.standing_rules,
             )
             record = asyncio.run(play.run())
             findings = check(record)
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -141,6 +141,7 @@
         lock_use: LockUse = SHORT_HOLDS,
         keeps_connections: bool = False,
         has_crowds: bool = False,
+        changes_rules: bool = True,
     ) -> None:
         """Create the deployment and its clients.
 
@@ -151,11 +152,11 @@
             clients: Number of clients in each region.
             program: Version that all machines start with and are reverted to.
             updated: Version that they are updated to.
-            server_faults: How the servers fail requests, while changes touch the routes' rules; `None`
-                if they do not.
+            server_faults: How the servers fail requests; `None` if they do not.
             lock_use: How the applications use locks.
             keeps_connections: Whether all callers use connections for as long as they are open.
             has_crowds: Whether processes have the limits that crowds of misbehaving clients are meant for.
+            changes_rules: Whether changes touch the routes' rules while servers fail requests.
         """
         self.record = Record(GRACE_S)
         self._schedule = schedule
@@ -170,7 +171,10 @@
         applications_rng = random.Random(f"applications {schedule.seed}")
         self._applications = Applications(self._deployment, self.record, applications_rng, lock_use)
         operator_rng = random.Random(self._rng.random())
-        self._operator = Operator(self._deployment, self.record, operator_rng, self._rules(server_faults))
+        has_changing_rules = server_faults is not None and changes_rules
+        self._operator = Operator(
+            self._deployment, self.record, operator_rng, self._rules(has_changing_rules)
+        )
         self._keeps_connections = keeps_connections
         keeps_fronts = keeps_connections or server_faults is not None
         self._clients = [
@@ -183,9 +187,9 @@
         faults_rng = random.Random(f"faults {schedule.seed}")
         self._servers = Servers(self._deployment, self.record.runs.append, faults_rng, server_faults)
 
-    def _rules(self, server_faults: ServerFaults | None) -> Callable[[], tuple[RouteRule, ...]]:
+    def _rules(self, has_changing_rules: bool) -> Callable[[], tuple[RouteRule, ...]]:
         """Return the source of the rules of each configuration."""
-        if server_faults is None:
+        if not has_changing_rules:
             return standing_rules
         rules_rng = random.Random(f"rules {self._schedule.seed}")
         source = RuleSource(rules_rng, [kind.path for kind in KINDS])
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass
 from enum import Enum
+from itertools import accumulate
 
 SETTLE_S = 3.0  # without further steps at the end
 MIN_GAP_S, MAX_GAP_S = 0.3, 3.0
@@ -36,6 +37,12 @@
 LONG_FREEZE_S = (2.0, 6.0)  # of a sidecar: longer than a change may take to be active
 CORE_FREEZE_S = (0.3, 4.0)  # of a control process
 CROWD_S = (2.0, 8.0)  # how long a crowd stays
+SERIES_SIGNALS = (Action.ROLL, Action.HUP, Action.KILL, Action.FREEZE)
+SERIES_LENGTH = (2, 4)  # signals of one series to one machine
+SERIES_GAP_S = (0.05, 1.5)  # between two of them: a process may still be starting, or already leaving
+SERIES_FREEZE_S = (0.1, 1.0)
+CHANGES_LENGTH = (3, 8)  # changes of one series
+CHANGES_GAP_S = (0.02, 0.4)
 UPDATE_GAP_S = 1.5  # between the updates of two machines
 
 
@@ -180,6 +187,59 @@
     return Schedule(seed, duration_s, base.planned_only, _order([*base.steps, *crowds], until))
 
 
+def draw_with_overlaps(
+    seed: int,
+    duration_s: float,
+    sidecars: list[str],
+    controls: list[str],
+    regions: list[str],
+    servers: list[str],
+) -> Schedule:
+    """Draw a schedule with failures of all kinds, and with series of signals and changes that overlap.
+
+    A series sends signals to one machine faster than its process can start or leave.
+
+    Args:
+        seed: Seed of the random source.
+        duration_s: The duration of the play.
+        sidecars: Names of the sidecars.
+        controls: Names of the control processes.
+        regions: Names of the regions.
+        servers: Names of the model servers.
+    """
+    rng = random.Random(f"overlaps {seed}")
+    base = draw_with_server_faults(seed, duration_s, sidecars, controls, regions, servers)
+    until = duration_s - SETTLE_S
+    steps = list(base.steps)
+    for at in _draw_times(rng, until, 1.0, 4.0):
+        steps += _draw_signals(rng, at, rng.choice(sidecars))
+    for at in _draw_times(rng, until, 8.0, 16.0):
+        steps += _draw_signals(rng, at, rng.choice(controls))
+    for at in _draw_times(rng, until, 2.0, 6.0):
+        steps += [
+            Step(change_at, Action.CHANGE)
+            for change_at in _draw_series_times(rng, at, CHANGES_LENGTH, CHANGES_GAP_S)
+        ]
+    return Schedule(seed, duration_s, False, _order(steps, until))
+
+
+def _draw_signals(rng: random.Random, at: float, machine: str) -> list[Step]:
+    """Draw a series of signals to one machine."""
+    times = _draw_series_times(rng, at, SERIES_LENGTH, SERIES_GAP_S)
+    return [
+        Step(signal_at, rng.choice(SERIES_SIGNALS), machine, rng.uniform(*SERIES_FREEZE_S))
+        for signal_at in times
+    ]
+
+
+def _draw_series_times(
+    rng: random.Random, at: float, length: tuple[int, int], gap_s: tuple[float, float]
+) -> list[float]:
+    """Draw the times of a series that begins at a time."""
+    gaps = [rng.uniform(*gap_s) for _ in range(rng.randint(*length) - 1)]
+    return list(accumulate(gaps, initial=at))
+
+
 def draw_update(seed: int, sidecars: list[str], controls: list[str], with_versions: bool = True) -> Schedule:
     """Draw a schedule that updates all machines one by one and then reverts them, with configuration changes.
 
