Log each attempt to send a request before it is sent, always

Change: event request:attempt, written before any byte goes to the server: id, client's address, number of the attempt in this process, what the attempt before proved, route with type and attempts, generation, server. Two first attempts of an id tell of bytes handled twice. The soak checks that its logs tell of each run, and prints these lines with a TWICE.

--- a/fordtrestle/ingress/inbound_request.py
+++ b/fordtrestle/ingress/inbound_request.py
@@ -56,6 +56,7 @@
         request_id: The client's request id; empty if it sent none.
         prompt: The description of the prompt in the headers.
         arrived_at: The earliest possible arrival, in seconds of the loop's clock.
+        client: HOST:PORT of the client's connection; empty if it is closed.
     """
 
     method: str
@@ -66,6 +67,7 @@
     request_id: str
     prompt: Prompt
     arrived_at: float
+    client: str
 
     @classmethod
     def from_aiohttp(cls, request: web.BaseRequest, body: BodyParts, arrived_at: float) -> InboundRequest:
@@ -80,6 +82,7 @@
             request_id=headers.get(REQUEST_ID, ""),
             prompt=read_prompt(headers.get(TOKEN_COUNT, ""), headers.get(PROMPT_PREFIX, "")),
             arrived_at=arrived_at,
+            client=_client_address(request),
         )
 
     @property
@@ -94,3 +97,9 @@
             return float(self.headers.get(DEADLINE, "")) / MS_PER_S
         except ValueError:
             return None
+
+
+def _client_address(request: web.BaseRequest) -> str:
+    """Return HOST:PORT of a request's client; empty if its connection is closed."""
+    peer = request.transport.get_extra_info("peername") if request.transport else None
+    return f"{peer[0]}:{peer[1]}" if peer else ""
--- a/fordtrestle/ingress/request_sender.py
+++ b/fordtrestle/ingress/request_sender.py
@@ -9,6 +9,7 @@
 from fordtrestle.forward.results import Answered, SendResult
 from fordtrestle.ingress.inbound_request import HandlerContext, InboundRequest
 from fordtrestle.ingress.outcome_recorder import OutcomeRecorder
+from fordtrestle.ingress.send_log import Attempt, Proof, proof_of
 from fordtrestle.routing.decisions import SendTo
 
 
@@ -28,6 +29,8 @@
         self._recorder = recorder
         self._send_log = context.send_log
         self._priority = context.priority_assigner.assign(inbound.prompt.own_tokens)
+        self._attempt_count = 0
+        self._last_proof: Proof | None = None  # what the result of the last attempt proves
         self._current: SendTo | None = None  # the send that is in flight
         self._sent_at = 0.0  # in seconds of the loop's clock
         self._is_answered = False  # whether the head of the current server's response was received
@@ -49,6 +52,7 @@
         self._mark_in_flight(send)
         self._sent_at = loop.time()
         self._is_answered = False
+        self._log_attempt(send)
         tokens = self._inbound.prompt.own_tokens or 0
         server.prefill_tokens += tokens
         try:
@@ -60,6 +64,7 @@
             server.prefill_tokens -= tokens
         self._is_answered = isinstance(result, Answered)
         elapsed_s = self._elapsed_s()
+        self._last_proof = proof_of(result)
         self._recorder.record(send, result, elapsed_s, loop.time())
         self._send_log.record_result(self._inbound.request_id, send, result, elapsed_s)
         return result
@@ -80,6 +85,12 @@
             self._current.server.in_flight -= 1
             self._current = None
 
+    def _log_attempt(self, send: SendTo) -> None:
+        self._attempt_count += 1
+        inbound = self._inbound
+        attempt = Attempt(inbound.request_id, inbound.client, self._attempt_count, self._last_proof)
+        self._send_log.record_attempt(attempt, send)
+
     def _mark_in_flight(self, send: SendTo) -> None:
         send.server.in_flight += 1
         self._current = send
--- a/fordtrestle/ingress/send_log.py
+++ b/fordtrestle/ingress/send_log.py
@@ -1,11 +1,14 @@
-"""Logs what became of a request at each server that it was sent to.
+"""Logs each attempt to send a request to a server, and what became of it there.
 
-A send that was simply answered is logged only if the settings ask for it (`log_sends`).
+An attempt is logged before anything is written to the server, so that the log tells who sent a request where
+also if the process is killed meanwhile. The result of an attempt that was simply answered is logged only if
+the settings ask for it (`log_sends`).
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
 import eliot
@@ -22,7 +25,8 @@
 from fordtrestle.routing.decisions import SendTo
 from fordtrestle.routing.outlier_detection import FAILURE_STATUSES
 
-EVENT = "request:send"
+ATTEMPT_EVENT = "request:attempt"  # before an attempt
+EVENT = "request:send"  # the result of an attempt
 MAX_REQUEST_ID_CHARACTERS = 128  # of a client's request id in an event
 MS_PER_S = 1000.0
 CANCELLED = "Cancelled"  # the client disconnected, or this sidecar aborted the request
@@ -37,6 +41,23 @@
     NOT_SENT = "it was not sent"
 
 
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt to send a request to a server.
+
+    Attributes:
+        request_id: The client's request id.
+        client: HOST:PORT of the client's connection; empty if it is closed.
+        number: Counted from 1 among the attempts of the request in this process.
+        after: What the result of the attempt before proves; `None` for the first one.
+    """
+
+    request_id: str
+    client: str
+    number: int
+    after: Proof | None
+
+
 class SendLog:
     """Writes the events of one sidecar's sends."""
 
@@ -44,6 +65,28 @@
         """Create a log; `logs_all` returns whether sends that were simply answered are logged too."""
         self._logs_all = logs_all
 
+    def record_attempt(self, attempt: Attempt, send: SendTo) -> None:
+        """Log that a request is about to be sent to a server.
+
+        Args:
+            attempt: The attempt.
+            send: The decision to send the request.
+        """
+        eliot.log_message(
+            ATTEMPT_EVENT,
+            request_id=attempt.request_id[:MAX_REQUEST_ID_CHARACTERS],
+            client=attempt.client,
+            attempt=attempt.number,
+            after=attempt.after.value if attempt.after else None,
+            route=send.route.name,
+            route_type=send.route.route_type.value,
+            resumable=send.route.is_resumable,
+            max_attempts=send.route.max_attempts,
+            generation=send.generation,
+            server=send.server.instance,
+            address=send.server.record.address,
+        )
+
     def record_result(self, request_id: str, send: SendTo, result: SendResult, elapsed_s: float) -> None:
         """Log the result of a send.
 
--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from fordtrestle.ingress.send_log import ATTEMPT_EVENT
 from rig.coordination.rules import check_history
 from rig.system.model_server import SERVICE, Run
 from rig.system.soak.record import ClientRequest, ProcessLifetime, Record
@@ -48,6 +49,7 @@
         _check_services,
         _check_exits,
         _check_logs,
+        _check_attempts,
         _check_versions,
         _check_directory,
         _check_served,
@@ -140,6 +142,7 @@
 def _check_repeated_runs(record: Record) -> Iterator[Finding]:
     """Check that a request runs again only if a configuration that may be active allows it."""
     runs_by_request = _runs_by_request(record)
+    attempts = _attempts_by_request(record)
     for request in record.requests:
         runs = sorted(runs_by_request.get(request.request_id, ()), key=lambda run: run.began)
         for count, run in enumerate(runs[1:], start=MAX_RUNS + 1):
@@ -149,7 +152,9 @@
                 yield Finding(
                     "TWICE" if allowed == MAX_RUNS else "BUDGET",
                     f"{request.kind.name} {request.request_id} sent to {request.front} began run {count} "
-                    f"{run.began - request.sent:.2f} s later, {allowed} allowed by generations {generations}",
+                    f"{run.began - request.sent:.2f} s later, "
+                    f"{allowed} allowed by generations {generations}; "
+                    f"in the logs: {attempts[request.request_id]}",
                 )
 
 
@@ -199,6 +204,30 @@
             yield Finding("LOG", f"{machine}: {line[:1000]}")
 
 
+def _attempts_by_request(record: Record) -> defaultdict[str, list[str]]:
+    """Return what the logs tell of the attempts of each request, by its id."""
+    attempts: defaultdict[str, list[str]] = defaultdict(list)
+    for machine, line in record.log_lines:
+        if ATTEMPT_EVENT not in line:
+            continue
+        event = json.loads(line)
+        attempts[event["request_id"]].append(
+            f"{machine}, attempt {event['attempt']} at {event['server']} by generation "
+            f"{event['generation']}, after {event['after']!r}"
+        )
+    return attempts
+
+
+def _check_attempts(record: Record) -> Iterator[Finding]:
+    """Check that the logs tell of each run who sent the request; programs before this event tell of none."""
+    attempts = _attempts_by_request(record)
+    if not attempts:
+        return
+    for request_id, runs in _runs_by_request(record).items():
+        if len(runs) > len(attempts[request_id]):
+            yield Finding("LOG", f"{request_id} began {len(runs)} runs, in the logs: {attempts[request_id]}")
+
+
 def _check_versions(record: Record) -> Iterator[Finding]:
     """Check that no read returns a configuration older than one acknowledged before it."""
     for read in record.reads:
--- a/tests/ingress/test_send_log.py
+++ b/tests/ingress/test_send_log.py
@@ -8,7 +8,7 @@
 import eliot
 import pytest
 
-from fordtrestle.ingress.send_log import EVENT, SendLog
+from fordtrestle.ingress.send_log import ATTEMPT_EVENT, EVENT, SendLog
 from tests.exchanges import Client, loopback, request, until
 from tests.ingress.stage import ConnectionEnd, FakeServer, IngressHarness, failure, ok, route
 
@@ -18,13 +18,12 @@
 BROKEN_STREAM = [STREAM_HEAD + b"9\r\ndata: 1\n\n\r\n", None]
 
 
-@pytest.fixture
-def events() -> Iterator[list[dict[str, object]]]:
-    """The events of sends that are logged during the test."""
+def collect(message_type: str) -> Iterator[list[dict[str, object]]]:
+    """Collect the events of a type that are logged during a test."""
     logged: list[dict[str, object]] = []
 
     def record(message: dict[str, object]) -> None:
-        if message.get("message_type") == EVENT:
+        if message.get("message_type") == message_type:
             logged.append(message)
 
     eliot.add_destinations(record)  # receives at once the messages buffered so far
@@ -33,6 +32,18 @@
     eliot.remove_destination(record)
 
 
+@pytest.fixture
+def events() -> Iterator[list[dict[str, object]]]:
+    """The events of results."""
+    yield from collect(EVENT)
+
+
+@pytest.fixture
+def attempts() -> Iterator[list[dict[str, object]]]:
+    """The events of attempts."""
+    yield from collect(ATTEMPT_EVENT)
+
+
 def make_call(deadline_ms="15000"):
     return request("POST", "/a/x", "hello", X_Request_Id="q1", X_Deadline_Ms=deadline_ms)
 
@@ -155,3 +166,36 @@
         await client.exchange(make_call())
         await asyncio.sleep(0)
     assert [summary(event) for event in events] == [("i-1", "Answered", 200, "it has run")] * logs_all
+
+
+class LoggedFirstServer(FakeServer):
+    """A server that counts the attempts that are in the log when it has read a request."""
+
+    def __init__(self, answer, attempts):
+        super().__init__(answer)
+        self.attempts, self.logged_before = attempts, 0
+
+    async def before_answer(self):
+        self.logged_before = len(self.attempts)
+
+
+@loopback
+async def test_each_attempt_is_logged_before_its_server_has_the_request_and_with_what_allowed_it(attempts):
+    async with (
+        LoggedFirstServer(failure(503), attempts) as first,
+        LoggedFirstServer(ok(), attempts) as second,
+        IngressHarness(route("r-log")) as harness,
+        Client(harness.port) as client,
+    ):
+        harness.add(first, "i-1")
+        harness.add(second, "i-2", zone="z-2")
+        await client.exchange(make_call())
+        addresses = [f"127.0.0.1:{server.port}" for server in (first, second)]
+        assert (first.logged_before, second.logged_before) == (1, 2)
+    summaries = [(event["attempt"], event["server"], event["after"]) for event in attempts]
+    assert summaries == [(1, "i-1", None), (2, "i-2", "it has not run")]
+    assert [event["address"] for event in attempts] == addresses
+    for event in attempts:
+        assert (event["request_id"], event["generation"], event["route"]) == ("q1", 1, "r-log")
+        assert (event["route_type"], event["max_attempts"], event["resumable"]) == ("unsafe", 1, False)
+        assert str(event["client"]).startswith("127.0.0.1:")
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -15,6 +15,7 @@
     draw_schedule,
     summarize,
 )
+from fordtrestle.ingress.send_log import ATTEMPT_EVENT
 from rig.system.model_server import Run
 from rig.system.soak.applications import LONG_HOLDS
 from rig.system.soak.checks import check
@@ -67,6 +68,11 @@
     return ("one", json.dumps({"message_type": kind}))
 
 
+def attempt_line(request_id):
+    event = {"request_id": request_id, "attempt": 1, "server": "i-1", "generation": 1, "after": None}
+    return ("one", json.dumps({"message_type": ATTEMPT_EVENT, **event}))
+
+
 TERMINATED = lifetime(sigterm_at=8.0, ended=15.5, code=0)
 INCOMPLETE = {"is_complete": False, "status": 200}
 VALID_RECORDS = {
@@ -114,6 +120,7 @@
         reads=[ConfigurationRead(1.0, 3, 3), ConfigurationRead(2.0, 4, 3)]
     ),
     "events in a log": record(log_lines=[log_line("sidecar:ready")]),
+    "a run of which the log tells": record(runs=[Run("q", "east-1", 10.0)], log_lines=[attempt_line("q")]),
 }
 BROKEN_RECORDS = {
     "LOST forwarded and cut": record(requests=[request("r", **INCOMPLETE)], runs=[Run("r", "east-1", 10.0)]),
@@ -166,6 +173,9 @@
     ),
     "MIXED the response to another request": record(requests=[request(answered_id="r")]),
     "ROUTE a server of another service": record(runs=[Run("q", "east-1", 10.0, "others")]),
+    "LOG a run of which the log does not tell": record(
+        runs=[Run("q", "east-1", 10.0)], log_lines=[attempt_line("r")]
+    ),
     "SERVED few requests": record(requests=[request(status=503), request(status=503)]),
 }
 
