A send is checked again when its connection is ready, right before it is written

What callers saw: a request that may run once could run a second time (TWICE), at a draining server (DRAIN), in an evacuated zone (EVAC), at a service that the route had left (ROUTE), or outside its homes (HOME).

Cause: one class, a decision older than its act. The router decided; then a connection was opened (0.5 s) or waited for while all were in use (until the deadline); then the request was written by the old decision. A change, an evacuation, a server's draining or a stall in between was not seen.

Change: the connection pool asks the router whether the decision still holds once it has a connection, in the turn before the request is written. If not, the connection is kept, the result is Withdrawn (not sent), and the router decides again, four times at most.

Why it works: between the check and the write there is no wait, so that nothing can change in the process; what is checked is the permission to run again over all routes since the arrival, whether the view may be believed, and the route, server and zone of the send.

--- /dev/null
+++ b/fordtrestle/forward/checked_connector.py
@@ -0,0 +1,57 @@
+"""A connection pool that checks a send again once it has a connection, right before the request is written.
+
+Opening a connection takes time, and so does waiting for one while all are in use. What the send was decided
+by may have changed meanwhile, or the process may have stood still.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+
+import aiohttp
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+
+Check = Callable[[], bool]
+
+# aiohttp passes nothing from a request to its connector; the check belongs to the task that sends.
+_current_check: ContextVar[Check | None] = ContextVar("current_check", default=None)
+
+
+class SendWithdrawnError(aiohttp.ClientError):
+    """The check of a send failed when it had a connection: nothing of the request was written."""
+
+
+@contextmanager
+def checked_by(check: Check) -> Iterator[None]:
+    """Check the sends of this task within the block; `check` returns whether a send is still allowed."""
+    token = _current_check.set(check)
+    try:
+        yield
+    finally:
+        _current_check.reset(token)
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """aiohttp's connection pool, with the check of each send."""
+
+    async def connect(
+        self,
+        req: ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109  (the name that aiohttp passes it by)
+    ) -> Connection:
+        """Return a connection on which the request may be written.
+
+        Raises:
+            SendWithdrawnError: The send is no longer allowed; the connection is kept for others.
+        """
+        connection = await super().connect(req, traces, timeout)
+        check = _current_check.get()
+        if check is not None and not check():
+            connection.release()
+            raise SendWithdrawnError("the send is no longer allowed")
+        return connection
--- a/fordtrestle/forward/client.py
+++ b/fordtrestle/forward/client.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fordtrestle.forward.checked_connector import Check, SendWithdrawnError, checked_by
 from fordtrestle.forward.connections import MAX_CONNECTIONS, make_connector, set_keep_alive
 from fordtrestle.forward.headers import MISDIRECTED_STATUS, NOT_EXECUTED, REQUEST_ID
 from fordtrestle.forward.request_payload import PartsPayload
@@ -25,6 +26,7 @@
     NotSent,
     RejectedByServer,
     SendResult,
+    Withdrawn,
 )
 
 CONNECT_TIMEOUT_S = 0.5  # a running server accepts within the latency between two regions
@@ -90,13 +92,16 @@
         # aiohttp must not retry a request on its own: the route decides whether a retry is allowed.
         self._session._retry_connection = False
 
-    async def send(self, address: str, outbound: OutboundRequest, deadline: float) -> SendResult:
+    async def send(
+        self, address: str, outbound: OutboundRequest, deadline: float, check: Check
+    ) -> SendResult:
         """Send a request and wait for the head of its response.
 
         Args:
             address: The address of the server, `HOST:PORT`.
             outbound: The request.
             deadline: The deadline, in seconds of the loop's clock.
+            check: Returns whether the request may still be sent; called when a connection is ready.
 
         Returns:
             The result. The caller must release the connection of an `Answered` result.
@@ -107,7 +112,10 @@
         client_timeout = _timeout_before_deadline(remaining_s) if is_deadline_near else _DEFAULT_TIMEOUT
         try:
             async with asyncio.timeout_at(deadline):
-                response = await self._request(url, outbound, client_timeout)
+                with checked_by(check):
+                    response = await self._request(url, outbound, client_timeout)
+        except SendWithdrawnError:
+            return Withdrawn()
         except aiohttp.ConnectionTimeoutError:
             return NotSent() if is_deadline_near else ConnectFailed()
         except aiohttp.ClientConnectorError:
--- a/fordtrestle/forward/connections.py
+++ b/fordtrestle/forward/connections.py
@@ -14,6 +14,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from fordtrestle.forward.checked_connector import CheckedConnector
+
 MAX_CONNECTIONS = 1024  # to all servers together
 RECEIVE_BYTES = 64 * 1024  # taken by one read; bounds what is held of a response whose client does not read
 
@@ -48,13 +50,13 @@
         super().connection_lost(exc)
 
 
-def make_connector(max_connections: int = MAX_CONNECTIONS) -> aiohttp.TCPConnector:
+def make_connector(max_connections: int = MAX_CONNECTIONS) -> CheckedConnector:
     """Create the connection pool for all servers, in the running event loop.
 
     Args:
         max_connections: The most connections at the same time; `MAX_CONNECTIONS` at most.
     """
-    connector = aiohttp.TCPConnector(
+    connector = CheckedConnector(
         limit=min(max_connections, MAX_CONNECTIONS),
         keepalive_timeout=DEFAULT_KEEP_ALIVE_S,
         use_dns_cache=False,
--- a/fordtrestle/forward/results.py
+++ b/fordtrestle/forward/results.py
@@ -35,6 +35,11 @@
     """The deadline passed before a connection was established: the request was not sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """When a connection was ready, the send was no longer allowed: the request was not sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionBroken:
     """The connection ended, or received data that is no response to this request: it may have run."""
@@ -45,4 +50,6 @@
     """The deadline passed after the request was sent: the server may still be running it."""
 
 
-SendResult = Answered | RejectedByServer | ConnectFailed | NotSent | ConnectionBroken | DeadlineExceeded
+SendResult = (
+    Answered | RejectedByServer | ConnectFailed | NotSent | Withdrawn | ConnectionBroken | DeadlineExceeded
+)
--- a/fordtrestle/ingress/outcome_recorder.py
+++ b/fordtrestle/ingress/outcome_recorder.py
@@ -19,6 +19,7 @@
     NotSent,
     RejectedByServer,
     SendResult,
+    Withdrawn,
 )
 from fordtrestle.routing.common import Prompt
 from fordtrestle.routing.decisions import SendTo
@@ -55,7 +56,7 @@
             now: Seconds of the loop's clock.
         """
         server = send.server
-        if not isinstance(result, ConnectFailed | NotSent):
+        if not isinstance(result, ConnectFailed | NotSent | Withdrawn):
             is_rejected = isinstance(result, RejectedByServer)
             self._attempts.record_send(server.instance, rejected=is_rejected)
         match result:
@@ -65,6 +66,8 @@
                 self._on_rejection(send, status, now)
             case ConnectFailed():
                 self._on_connect_failure(server, now)
+            case Withdrawn():
+                self._attempts.withdrawals += 1
             case ConnectionBroken():
                 self._on_broken_connection(server, now)
             case DeadlineExceeded():
--- a/fordtrestle/ingress/request_handler.py
+++ b/fordtrestle/ingress/request_handler.py
@@ -19,6 +19,7 @@
     DeadlineExceeded,
     NotSent,
     RejectedByServer,
+    Withdrawn,
 )
 from fordtrestle.ingress import responses
 from fordtrestle.ingress.inbound_request import HandlerContext, InboundRequest
@@ -57,7 +58,7 @@
         self._request = request
         self._attempts = RequestAttempts()
         self._recorder = OutcomeRecorder(context.router, inbound.prompt, self._attempts)
-        self._sender = RequestSender(context, inbound, self._recorder)
+        self._sender = RequestSender(context, inbound, self._attempts, self._recorder)
 
     async def run(self) -> web.StreamResponse:
         """Handle the request.
@@ -110,7 +111,7 @@
                 return None if can_retry else self._reject_on_route(route, "no server can be reached")
             case NotSent():
                 return self._reject_on_route(route, "the time is up")
-            case ConnectionBroken():
+            case ConnectionBroken() | Withdrawn():
                 return None
             case DeadlineExceeded():
                 return responses.deadline_exceeded(request_id)
--- a/fordtrestle/ingress/request_sender.py
+++ b/fordtrestle/ingress/request_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from fordtrestle.forward.client import OutboundRequest
 from fordtrestle.forward.headers import LAST_EVENT_ID, PRIORITY, headers_for_server
@@ -11,21 +12,31 @@
 from fordtrestle.ingress.outcome_recorder import OutcomeRecorder
 from fordtrestle.ingress.send_log import Attempt, Proof, proof_of
 from fordtrestle.routing.decisions import SendTo
+from fordtrestle.routing.request_attempts import RequestAttempts
 
 
 class RequestSender:
     """Sender of a single request; the caller must call `release` at the end, also after an error."""
 
-    def __init__(self, context: HandlerContext, inbound: InboundRequest, recorder: OutcomeRecorder) -> None:
+    def __init__(
+        self,
+        context: HandlerContext,
+        inbound: InboundRequest,
+        attempts: RequestAttempts,
+        recorder: OutcomeRecorder,
+    ) -> None:
         """Create a sender for a request that has not been sent.
 
         Args:
             context: The objects that all handlers share.
             inbound: The request.
+            attempts: The attempts of the request, which the recorder updates.
             recorder: Records the results.
         """
+        self._router = context.router
         self._forwarder = context.forwarder
         self._inbound = inbound
+        self._attempts = attempts
         self._recorder = recorder
         self._send_log = context.send_log
         self._priority = context.priority_assigner.assign(inbound.prompt.own_tokens)
@@ -56,7 +67,9 @@
         tokens = self._inbound.prompt.own_tokens or 0
         server.prefill_tokens += tokens
         try:
-            result = await self._forwarder.send(server.record.address, outbound, send.deadline)
+            result = await self._forwarder.send(
+                server.record.address, outbound, send.deadline, partial(self._is_allowed, send)
+            )
         except asyncio.CancelledError:
             self._send_log.record_cancelled(self._inbound.request_id, send, self._elapsed_s())
             raise
@@ -85,6 +98,11 @@
             self._current.server.in_flight -= 1
             self._current = None
 
+    def _is_allowed(self, send: SendTo) -> bool:
+        """Return whether a send that has a connection is still allowed."""
+        now = asyncio.get_running_loop().time()
+        return self._router.still_allows(send, self._inbound.metadata, self._attempts, now)
+
     def _log_attempt(self, send: SendTo) -> None:
         self._attempt_count += 1
         inbound = self._inbound
--- a/fordtrestle/ingress/send_log.py
+++ b/fordtrestle/ingress/send_log.py
@@ -21,6 +21,7 @@
     NotSent,
     RejectedByServer,
     SendResult,
+    Withdrawn,
 )
 from fordtrestle.routing.decisions import SendTo
 from fordtrestle.routing.outlier_detection import FAILURE_STATUSES
@@ -143,7 +144,7 @@
             return Proof.RAN
         case RejectedByServer():
             return Proof.NOT_RUN
-        case ConnectFailed() | NotSent():
+        case ConnectFailed() | NotSent() | Withdrawn():
             return Proof.NOT_SENT
         case ConnectionBroken() | DeadlineExceeded():
             return Proof.MAY_HAVE_RUN
--- a/fordtrestle/routing/request_attempts.py
+++ b/fordtrestle/routing/request_attempts.py
@@ -14,6 +14,7 @@
 
 MAX_SENDS = 4  # per request, including rejected ones: more would let rejections amplify an overload
 MAX_CONNECT_FAILURES = 4  # unreachable servers per request before it is rejected
+MAX_WITHDRAWALS = 4  # sends per request that are withdrawn before it is rejected
 
 
 @dataclass(slots=True, eq=False)
@@ -28,6 +29,7 @@
         sends: The number of sends.
         runs: The number of runs.
         connect_failures: The number of servers that could not be reached.
+        withdrawals: The number of sends that were no longer allowed when they had a connection.
         is_admitted: Whether admission control has admitted the request; it is consulted only until then.
         may_have_run: Whether a server may have run the request without its response being forwarded. If so,
             the client must not receive a response that guarantees that the request has not run.
@@ -39,6 +41,7 @@
     sends: int = 0
     runs: int = 0
     connect_failures: int = 0
+    withdrawals: int = 0
     is_admitted: bool = False
     may_have_run: bool = False
     is_idempotent: bool = True
@@ -69,3 +72,7 @@
     def has_exhausted_connects(self) -> bool:
         """Return whether `MAX_CONNECT_FAILURES` servers could not be reached."""
         return self.connect_failures >= MAX_CONNECT_FAILURES
+
+    def has_exhausted_withdrawals(self) -> bool:
+        """Return whether `MAX_WITHDRAWALS` sends were withdrawn."""
+        return self.withdrawals >= MAX_WITHDRAWALS
--- a/fordtrestle/routing/router.py
+++ b/fordtrestle/routing/router.py
@@ -84,6 +84,8 @@
             now: Seconds of the loop's clock.
         """
         table = self.view.table
+        if attempts.has_exhausted_withdrawals():
+            return Reject(NO_CONFIGURATION_RETRY_SCALE_S, "its routes and servers keep changing")
         if table is None:
             rejection = Reject(NO_CONFIGURATION_RETRY_SCALE_S, "no configuration yet")
             return self._wait_or_reject(request, attempts, NO_CONFIGURATION_TIMEOUT_S, rejection)
@@ -121,7 +123,7 @@
         attempts.restrict(route)
         if not self._can_run(attempts, now):
             return None
-        if attempts.has_exhausted_connects() or now >= deadline:
+        if attempts.has_exhausted_connects() or attempts.has_exhausted_withdrawals() or now >= deadline:
             return None
         callee = route.draw_backend(self.draw)
         server = self.selector.select(route, callee, request.prompt, attempts.tried, now)
@@ -129,6 +131,24 @@
             return None
         return SendTo(route, callee, server, deadline, self.view.generation)
 
+    def still_allows(
+        self, send: SendTo, request: RequestMetadata, attempts: RequestAttempts, now: float
+    ) -> bool:
+        """Return whether a send is still allowed, at the moment at which its request is to be written.
+
+        Args:
+            send: The decision, made before the connection to the server was opened or waited for.
+            request: The request.
+            attempts: Its attempts so far.
+            now: Seconds of the loop's clock.
+        """
+        if not self._can_run(attempts, now) or not self.view.can_receive(send.server):
+            return False
+        if send.generation == self.view.generation:
+            return True
+        table = self.view.table
+        return table is not None and table.match(request.host, request.path) == send.route
+
     def record_outcome(self, server: Server, failed: bool, now: float) -> bool:
         """Record the outcome of a request at a server, for outlier detection.
 
--- a/fordtrestle/routing/view.py
+++ b/fordtrestle/routing/view.py
@@ -14,10 +14,12 @@
     EjectionRecord,
     Item,
     MemberRecord,
+    Phase,
     ServerRecord,
 )
 from fordtrestle.routing.common import NodeName, RegionName, ZoneName
 from fordtrestle.routing.route_table import RouteTable, parse_table, parse_table_in_steps
+from fordtrestle.routing.server import Server
 from fordtrestle.routing.server_table import ServerTable
 
 SIDECAR_ROLE = "sidecar"
@@ -101,6 +103,10 @@
                 del self._down_since[node]
                 self.sidecars.discard(node)
 
+    def can_receive(self, server: Server) -> bool:
+        """Return whether a server serves, and its zone is not evacuated."""
+        return server.record.phase is Phase.SERVING and server.record.zone not in self.evacuated_zones
+
     def knows_peers(self, now: float) -> bool:
         """Return whether this process has run long enough to know all sidecars that share budgets."""
         return now - self._started_at >= PEER_DISCOVERY_S
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -50,6 +50,7 @@
 COORDINATION_CASES = "tests/coordination/test_hard_cases.py"
 ENDS = "tests/ingress/test_ends.py"
 ROUTE_CHANGES = "tests/ingress/test_route_changes.py"
+LATE_SENDS = "tests/ingress/test_late_sends.py"
 CLIENT_CONNECTION = "listener/client_connection.py"
 INGRESS_SERVER, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
 DIRECTORY = "tests/ingress/test_directory.py"
@@ -749,6 +750,27 @@
         "tests/routing/test_router.py",
         " and (attempts.runs == 0 or self.is_view_current(now))",
     ),
+    "a send that has a connection is checked": _removal(
+        "forward/checked_connector.py",
+        LATE_SENDS,
+        "        if check is not None and not check():\n",
+        "        if False:\n",
+    ),
+    "a second run that has a connection is begun only if it is still allowed": _removal(
+        "routing/router.py", LATE_SENDS, "not self._can_run(attempts, now) or not self", "not self"
+    ),
+    "a request that has a connection goes only to a server that serves": _removal(
+        "routing/router.py", LATE_SENDS, " or not self.view.can_receive(send.server)"
+    ),
+    "a request that has a connection goes only by its route": _removal(
+        "routing/router.py",
+        LATE_SENDS,
+        "table is not None and table.match(request.host, request.path) == send.route",
+        "True",
+    ),
+    "a request is not withdrawn for ever": _removal(
+        "routing/request_attempts.py", LATE_SENDS, "self.withdrawals >= MAX_WITHDRAWALS", "False"
+    ),
     "a view is not trusted without links to a majority of the control processes": _removal(
         "roles/control_contact.py",
         "tests/roles/test_stall_monitor.py",
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -151,6 +151,7 @@
         *routes: dict[str, object],
         services: list[dict[str, object]] | None = None,
         limits: IngressLimits = LIMITS,
+        max_server_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self.view = View(ZONES, heartbeat_s=1.0, started_at=0.0)
         self.sequence = 0
@@ -170,7 +171,11 @@
             draw=random.Random(1).random,
         )
         self.context = HandlerContext(
-            self.router, PriorityAssigner(), WaitQueue(), Forwarder(), random.Random(1)
+            self.router,
+            PriorityAssigner(),
+            WaitQueue(),
+            Forwarder(max_server_connections),
+            random.Random(1),
         )
         self.quotas = ClientQuotas(MAX_CONNECTIONS, limits.max_body_bytes)
         self.ingress = IngressServer(self.context, self.quotas.budget("front"), limits.max_requests)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -273,6 +273,7 @@
     "control_api/unrouted_calls.py",
     "control_api/watches.py",
     "control_api/withdrawals.py",
+    "forward/checked_connector.py",
     "forward/client.py",
     "forward/connections.py",
     "ingress/adopted_connections.py",
