A sidecar that gets SIGTERM as it loads its libraries answers the clients that wait

Cause: the listener opens before the libraries load, but until they had, SIGTERM ended the process at once. The door was open with nobody to answer at it.

Change: a sidecar keeps the signal and its time (roles/early_sigterm.py), and shuts down as soon as it runs: connections that waited get 503 with Retry-After, an idle one is closed after the adoption window (0.5 s). If it still loads 2.5 s after the signal, it exits with code 0 as before. Control processes have no early listener and exit at once.

Checks: the soak excused requests at a process that had logged nothing; it no longer does, and the record that was valid by that is now one that breaks LOST. Two test scripts replace the role's module instead of its package, since the command imports one more module of that package.

Evidence: two of three cases of tests/roles/test_early_sigterm.py failed before (connection reset); four guards, each noticed.

--- a/fordtrestle/cli/sidecar.py
+++ b/fordtrestle/cli/sidecar.py
@@ -6,6 +6,7 @@
 
 from fordtrestle.cli.start import disable_tls, install_early_signal_handlers
 from fordtrestle.ingress.early_listener import listen_early
+from fordtrestle.roles.early_sigterm import EarlySigterm
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -15,8 +16,10 @@
 def run(arguments: argparse.Namespace) -> int:
     """Serve until SIGTERM and return the exit code."""
     install_early_signal_handlers()
+    early_sigterm = EarlySigterm()
+    early_sigterm.install()  # instead of an exit: clients may wait at the listener
     disable_tls()
-    early = listen_early("front")
+    early_listener = listen_early("front")
     from fordtrestle.roles import sidecar
 
-    return sidecar.main(early)
+    return sidecar.main(early_listener, early_sigterm)
--- a/fordtrestle/ingress/adopted_connections.py
+++ b/fordtrestle/ingress/adopted_connections.py
@@ -25,6 +25,11 @@
         self._handlers: set[web.RequestHandler] = set()
         self._waited_since = 0.0  # earliest possible start of the wait, in seconds of the loop's clock
 
+    @property
+    def waiting(self) -> frozenset[web.RequestHandler]:
+        """The adopted connections whose first requests have not been read; empty after the window."""
+        return frozenset(self._handlers)
+
     @property
     def is_empty(self) -> bool:
         """Whether no adopted connection still waits for its first request."""
--- a/fordtrestle/ingress/server.py
+++ b/fordtrestle/ingress/server.py
@@ -145,12 +145,13 @@
 
         A request that arrives while its connection is being closed is not read, and may be retried. One that
         was read in the same iteration of the event loop is rejected, which guarantees that it has not run.
+        So is one that was sent before this process could read it, while it loaded its libraries.
         """
         self._phase = IngressPhase.DRAINING
         if self._listener:
             self._listener.close()
         while True:
-            busy_connections = set(self._open_requests.values())
+            busy_connections = {*self._open_requests.values(), *self._adopted.waiting}
             for connection in self._server.connections:
                 if connection not in busy_connections:
                     connection.force_close()
--- a/fordtrestle/roles/process.py
+++ b/fordtrestle/roles/process.py
@@ -23,6 +23,7 @@
 from fordtrestle.peer.link import Link
 from fordtrestle.peer.mesh import Mesh
 from fordtrestle.peer.messages import Hello
+from fordtrestle.roles.early_sigterm import EarlySigterm
 from fordtrestle.roles.monitored_nodes import MonitoredNodes
 from fordtrestle.roles.settings_watcher import SettingsWatcher
 from fordtrestle.roles.shutdown import ShutdownBudget
@@ -98,6 +99,13 @@
         self.dial()
         self.announce(Availability.STARTING)
 
+    def handle_early_sigterm(self, early_sigterm: EarlySigterm) -> None:
+        """Shut down if SIGTERM was received before this process handled signals."""
+        early_sigterm.release()
+        if early_sigterm.received_at is not None:
+            self._shutdown_requested_at = early_sigterm.received_at
+            self.shutdown_requested.set()
+
     def begin_shutdown(self) -> ShutdownBudget:
         """Start the grace period, and ignore further signals.
 
--- a/fordtrestle/roles/sidecar.py
+++ b/fordtrestle/roles/sidecar.py
@@ -12,6 +12,7 @@
 
 from fordtrestle.ingress.early_listener import EarlyListener
 from fordtrestle.roles.drain import drain_sidecar
+from fordtrestle.roles.early_sigterm import EarlySigterm
 from fordtrestle.roles.endpoints import ENDPOINT_CLOSE_TIMEOUT_S, serve_http, serve_metrics
 from fordtrestle.roles.process import LINKS_CLOSE_TIMEOUT_S
 from fordtrestle.roles.role_runner import run_role
@@ -23,18 +24,23 @@
 CONNECTIONS_CLOSE_TIMEOUT_S = 0.25  # for all client connections to close
 
 
-async def run(boot: BootSettings, early: EarlyListener | None = None) -> int:
+async def run(
+    boot: BootSettings, early: EarlyListener | None = None, early_sigterm: EarlySigterm | None = None
+) -> int:
     """Serve until SIGTERM.
 
     Args:
         boot: The settings.
         early: A listener that clients could connect to while the process started.
+        early_sigterm: The signal, if it was received while the process started.
 
     Returns:
         The exit code.
     """
     sidecar = SidecarProcess(boot)
     await sidecar.process.start()
+    if early_sigterm is not None:
+        sidecar.process.handle_early_sigterm(early_sigterm)
     await sidecar.server.listen(boot.listen["front"], early)
     readiness_budget = sidecar.quotas.budget("readiness", READINESS_WEIGHT)
     readiness = sidecar.make_readiness().application()
@@ -69,6 +75,6 @@
     await budget.run_step("links", sidecar.process.mesh.close(), LINKS_CLOSE_TIMEOUT_S)
 
 
-def main(early: EarlyListener | None = None) -> int:
+def main(early: EarlyListener | None = None, early_sigterm: EarlySigterm | None = None) -> int:
     """Run the role as a process and return the exit code."""
-    return run_role(partial(run, early=early))
+    return run_role(partial(run, early=early, early_sigterm=early_sigterm))
--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -106,8 +106,6 @@
                 yield Finding(
                     "LOST", f"{where}{after_sigterm} was forwarded and cut after {duration_s:.2f} s"
                 )
-        elif sigterm_at is not None and not lifetime.has_logged:
-            continue  # it ended while it loaded its libraries, and so before it read any request
         elif request.ended - request.sent > MAX_UNFORWARDED_S:
             yield Finding(
                 "LOST",
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -58,24 +58,17 @@
     async def start(self, bootstrap: bool = False) -> None:
         """Start the process, and restart it whenever it exits."""
         machine = self.machine
-        log_bytes = self._log_bytes()
         await machine.start(bootstrap, self._program)
         front = machine.address("front") if machine.role == "sidecar" else ""
         lifetime = ProcessLifetime(machine.name, machine.role, machine.region, front, time.monotonic())
         self._record.lifetimes.append(lifetime)
         self._lifetime = lifetime
-        self._exit_task = asyncio.create_task(self._await_exit(lifetime, log_bytes))
+        self._exit_task = asyncio.create_task(self._await_exit(lifetime))
 
-    def _log_bytes(self) -> int:
-        """Return the size of the machine's log, in bytes."""
-        log = self.machine.folder / "log"
-        return log.stat().st_size if log.exists() else 0
-
-    async def _await_exit(self, lifetime: ProcessLifetime, log_bytes: int) -> None:
+    async def _await_exit(self, lifetime: ProcessLifetime) -> None:
         process = self.machine.process
         assert process is not None
         lifetime.code = await process.wait()
-        lifetime.has_logged = self._log_bytes() > log_bytes
         lifetime.ended = time.monotonic()
         await asyncio.sleep(RESTART_DELAY_S)
         if not self.is_closing:
--- a/rig/system/soak/record.py
+++ b/rig/system/soak/record.py
@@ -66,7 +66,6 @@
     code: int | None = None
     overdue_state: str = ""  # kernel state in which it was killed at the end of its grace time
     disturbed_at: list[float] = field(default_factory=list)  # times of unplanned signals
-    has_logged: bool = True  # a process that has served logs that it is ready or draining
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -932,6 +932,23 @@
         "    signal.signal(signal.SIGTERM, lambda *_: os._exit(EXIT_DONE))\n",
         "    pass\n",
     ),
+    "a sidecar that loads its libraries keeps SIGTERM": _removal(
+        "cli/sidecar.py", "tests/roles/test_early_sigterm.py", "    early_sigterm.install()"
+    ),
+    "a sidecar handles a SIGTERM that it has kept": _removal(
+        "roles/process.py",
+        "tests/roles/test_early_sigterm.py",
+        "        if early_sigterm.received_at is not None:\n",
+        "        if False:\n",
+    ),
+    "a sidecar that does not finish loading after SIGTERM exits": _removal(
+        "roles/early_sigterm.py",
+        "tests/roles/test_early_sigterm.py",
+        "            signal.setitimer(signal.ITIMER_REAL, MAX_KEPT_S)\n",
+    ),
+    "clients that waited for a sidecar that ends are answered": _removal(
+        "ingress/server.py", "tests/roles/test_early_sigterm.py", ", *self._adopted.waiting}", "}"
+    ),
     "a starting process ignores SIGHUP": _removal(
         "cli/start.py", SIGNALS, "    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
     ),
@@ -991,8 +1008,8 @@
     "a sidecar listens before its libraries are loaded": _removal(
         "cli/sidecar.py",
         EARLY_TESTS,
-        '    early = listen_early("front")\n',
-        "    early = None\n",
+        '    early_listener = listen_early("front")\n',
+        "    early_listener = None\n",
     ),
     "a leaving sidecar is selected if its region has no other": _removal(
         SIDECAR_SELECTOR,
--- a/tests/ingress/test_early_listener.py
+++ b/tests/ingress/test_early_listener.py
@@ -26,9 +26,9 @@
 import sys, types
 from tests.guards import take_out; take_out()
 role = types.ModuleType("role")
-role.main = lambda early: int(early is None or "aiohttp" in sys.modules)
-sys.modules["fordtrestle.roles.sidecar"] = sys.modules["fordtrestle.roles"] = role
-role.sidecar = role
+role.main = lambda early, early_sigterm: int(early is None or "aiohttp" in sys.modules)
+import fordtrestle.roles
+sys.modules["fordtrestle.roles.sidecar"] = fordtrestle.roles.sidecar = role
 from fordtrestle.cli import sidecar
 sys.exit(sidecar.run(None))
 """
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -97,13 +97,6 @@
     "SIGTERM during the start": record(
         lifetimes=[lifetime(started=7.9, sigterm_at=8.0, ended=8.1, code=-15)], requests=[]
     ),
-    "a process ends as it starts, before it has read anything": record(
-        lifetimes=[
-            lifetime(started=9.3, sigterm_at=10.7, ended=10.8, code=0, has_logged=False),
-            lifetime("two", "west", OTHER),
-        ],
-        requests=[*(request(front=OTHER) for _ in range(9)), request("r", ended=10.8, **INCOMPLETE)],
-    ),
     "SIGHUP before the interpreter runs": record(lifetimes=[lifetime(ended=0.4, code=-1)], requests=[]),
     "few requests are redirected": record(
         requests=[request(kind=CHAT, region="west", front=OTHER if n else FRONT) for n in range(40)]
@@ -129,8 +122,15 @@
         lifetimes=[lifetime(sigterm_at=10.7, ended=10.8, code=0)],
         requests=[request("r", ended=10.8, **INCOMPLETE)],
     ),
+    "LOST a process that got SIGTERM as it loaded its libraries ends without a response": record(
+        lifetimes=[
+            lifetime(started=9.3, sigterm_at=10.7, ended=10.8, code=0),
+            lifetime("two", "west", OTHER),
+        ],
+        requests=[*(request(front=OTHER) for _ in range(9)), request("r", ended=10.8, **INCOMPLETE)],
+    ),
     "LOST a process that was killed as it started had forwarded a request": record(
-        lifetimes=[lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=0, has_logged=False)],
+        lifetimes=[lifetime(started=9.0, sigterm_at=10.7, ended=10.8, code=0)],
         requests=[request("r", ended=10.8, **INCOMPLETE)],
         runs=[Run("r", "east-1", 10.1)],
     ),
--- a/tests/roles/test_signals.py
+++ b/tests/roles/test_signals.py
@@ -29,8 +29,8 @@
 role = types.ModuleType("role")
 ready = lambda: signal.getsignal(signal.SIGHUP) is signal.SIG_IGN and sys.modules["ssl"] is None
 role.main = lambda *early: int(not ready())
-sys.modules["fordtrestle.roles.ROLE"] = sys.modules["fordtrestle.roles"] = role
-role.ROLE = role
+import fordtrestle.roles
+sys.modules["fordtrestle.roles.ROLE"] = fordtrestle.roles.ROLE = role
 sys.exit(import_module("fordtrestle.cli.ROLE").run(None))
 """
 SHUTDOWN = f"""{PROLOGUE}
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -305,6 +305,7 @@
     "roles/control_process.py",
     "roles/control_store.py",
     "roles/drain.py",
+    "roles/early_sigterm.py",
     "roles/endpoints.py",
     "roles/event_log.py",
     "roles/event_loop.py",
