--- a/tests/replication/deployment.py
+++ b/tests/replication/deployment.py
@@ -19,7 +19,10 @@
 
 @dataclass
 class Machine:
-    """A machine with one store. Its disk survives a restart of the process."""
+    """A machine with one store. Its disk survives a restart of the process.
+
+    Its loss is tolerated whatever else is lost if it does not count for the quorum.
+    """
 
     address: str
     disk: list[Record] = field(default_factory=list)
@@ -30,6 +33,7 @@
     leaving_since: float | None = None
     is_decommissioned: bool = False  # whether it is removed after its store has shut down
     start_count: int = 0
+    counts_for_quorum: bool = True
 
 
 @dataclass(frozen=True)
@@ -86,7 +90,7 @@
             store,
             durable,
             tolerated_failures=self.tolerated_failures,
-            counts_for_quorum=True,
+            counts_for_quorum=machine.counts_for_quorum,
             draw=self.draw,
             now=machine.now,
             seeds=self.seeds,
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -154,7 +154,8 @@
 
     def _add(self) -> None:
         """Add a spare machine; the slot of a machine that is down may be reassigned to it."""
-        if len(self.machines) < 2 * self.tolerated_failures + 1 + MAX_SPARE_MACHINES:
+        counted = [machine for machine in self.machines if machine.counts_for_quorum]
+        if len(counted) < 2 * self.tolerated_failures + 1 + MAX_SPARE_MACHINES:
             self.addresses += 1
             now = max(machine.now for machine in self.machines)
             machine = Machine(f"10.0.1.{self.addresses}:1", now=now, is_wiped=True)
@@ -250,6 +251,7 @@
             if ready and all(
                 m.node.durable.accepted_epoch and m.node.durable.accepted_epoch.term == ready[0].epoch.term
                 for m in self.machines
+                if m.counts_for_quorum
             ):
                 return ready[0]
         raise InvariantError("no primary serves after all faults have ended")
