A send's deadline and warm-up token are those of the moment at which it is written

Change: the check of a send that has its connection sets X-Deadline-Ms anew, and withdraws a send to a warming server whose token is older than 0.5 s.

--- a/fordtrestle/forward/checked_connector.py
+++ b/fordtrestle/forward/checked_connector.py
@@ -14,8 +14,10 @@
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
+from multidict import CIMultiDict
 
-Check = Callable[[], bool]
+# Returns whether the request may be written, and updates its headers.
+Check = Callable[[CIMultiDict[str]], bool]
 
 # aiohttp passes nothing from a request to its connector; the check belongs to the task that sends.
 _current_check: ContextVar[Check | None] = ContextVar("current_check", default=None)
@@ -27,7 +29,7 @@
 
 @contextmanager
 def checked_by(check: Check) -> Iterator[None]:
-    """Check the sends of this task within the block; `check` returns whether a send is still allowed."""
+    """Check the sends of this task within the block, each with the headers that will be written."""
     token = _current_check.set(check)
     try:
         yield
@@ -51,7 +53,7 @@
         """
         connection = await super().connect(req, traces, timeout)
         check = _current_check.get()
-        if check is not None and not check():
+        if check is not None and not check(req.headers):
             connection.release()
             raise SendWithdrawnError("the send is no longer allowed")
         return connection
--- a/fordtrestle/forward/headers.py
+++ b/fordtrestle/forward/headers.py
@@ -63,9 +63,14 @@
     """
     headers = forwarded.copy()
     headers[EXPECT_INSTANCE] = instance
+    update_deadline(headers, remaining_s)
+    return headers
+
+
+def update_deadline(headers: CIMultiDict[str], remaining_s: float) -> None:
+    """Set the time until the deadline, in seconds, if the headers contain one; to at least 1 ms."""
     if DEADLINE in headers:
         headers[DEADLINE] = str(max(1, int(remaining_s * MS_PER_S)))
-    return headers
 
 
 def has_length_within(headers: Mapping[str, str], max_bytes: int) -> bool:
--- a/fordtrestle/ingress/request_sender.py
+++ b/fordtrestle/ingress/request_sender.py
@@ -5,8 +5,10 @@
 import asyncio
 from functools import partial
 
+from multidict import CIMultiDict
+
 from fordtrestle.forward.client import OutboundRequest
-from fordtrestle.forward.headers import LAST_EVENT_ID, PRIORITY, headers_for_server
+from fordtrestle.forward.headers import LAST_EVENT_ID, PRIORITY, headers_for_server, update_deadline
 from fordtrestle.forward.results import Answered, SendResult
 from fordtrestle.ingress.inbound_request import HandlerContext, InboundRequest
 from fordtrestle.ingress.outcome_recorder import OutcomeRecorder
@@ -98,10 +100,12 @@
             self._current.server.in_flight -= 1
             self._current = None
 
-    def _is_allowed(self, send: SendTo) -> bool:
-        """Return whether a send that has a connection is still allowed."""
+    def _is_allowed(self, send: SendTo, headers: CIMultiDict[str]) -> bool:
+        """Return whether a send that has a connection is still allowed, and update its deadline."""
         now = asyncio.get_running_loop().time()
-        return self._router.still_allows(send, self._inbound.metadata, self._attempts, now)
+        update_deadline(headers, send.deadline - now)
+        waited_s = now - self._sent_at
+        return self._router.still_allows(send, self._inbound.metadata, self._attempts, waited_s, now)
 
     def _log_attempt(self, send: SendTo) -> None:
         self._attempt_count += 1
--- a/fordtrestle/routing/router.py
+++ b/fordtrestle/routing/router.py
@@ -31,6 +31,8 @@
 NO_CONFIGURATION_RETRY_SCALE_S = 1.0  # replaces the route's latency target while no configuration is known
 # Time until this sidecar, or another one in its region, is ready again.
 DRAINING_RETRY_SCALE_S = 4.0
+# A request of a warm-up budget that waits longer for its connection may be sent together with later ones.
+MAX_WARM_UP_WAIT_S = 0.5
 MAX_WAIT_SHARE = 0.3  # of the request's timeout, before its first send; the rest is reserved for the response
 MAX_WAIT_S = 1.5  # before the first send: longer than the election of a primary (1.2 s)
 
@@ -132,7 +134,7 @@
         return SendTo(route, callee, server, deadline, self.view.generation)
 
     def still_allows(
-        self, send: SendTo, request: RequestMetadata, attempts: RequestAttempts, now: float
+        self, send: SendTo, request: RequestMetadata, attempts: RequestAttempts, waited_s: float, now: float
     ) -> bool:
         """Return whether a send is still allowed, at the moment at which its request is to be written.
 
@@ -140,8 +142,11 @@
             send: The decision, made before the connection to the server was opened or waited for.
             request: The request.
             attempts: Its attempts so far.
+            waited_s: The time since the decision, in seconds.
             now: Seconds of the loop's clock.
         """
+        if waited_s > MAX_WARM_UP_WAIT_S and send.server.is_warming_up(now):
+            return False
         if not self._can_run(attempts, now) or not self.view.can_receive(send.server):
             return False
         if send.generation == self.view.generation:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -753,7 +753,7 @@
     "a send that has a connection is checked": _removal(
         "forward/checked_connector.py",
         LATE_SENDS,
-        "        if check is not None and not check():\n",
+        "        if check is not None and not check(req.headers):\n",
         "        if False:\n",
     ),
     "a second run that has a connection is begun only if it is still allowed": _removal(
@@ -768,6 +768,15 @@
         "table is not None and table.match(request.host, request.path) == send.route",
         "True",
     ),
+    "a server gets the time that is left when its connection is ready": _removal(
+        "ingress/request_sender.py", LATE_SENDS, "        update_deadline(headers, send.deadline - now)\n"
+    ),
+    "a request that waited for its connection does not use an old token of a warm-up budget": _removal(
+        "routing/router.py",
+        LATE_SENDS,
+        "        if waited_s > MAX_WARM_UP_WAIT_S and send.server.is_warming_up(now):\n",
+        "        if False:\n",
+    ),
     "a request is not withdrawn for ever": _removal(
         "routing/request_attempts.py", LATE_SENDS, "self.withdrawals >= MAX_WITHDRAWALS", "False"
     ),
--- a/tests/ingress/test_late_sends.py
+++ b/tests/ingress/test_late_sends.py
@@ -11,6 +11,7 @@
 
 from fordtrestle.dissemination.items import Phase
 from fordtrestle.routing.request_attempts import MAX_WITHDRAWALS
+from fordtrestle.routing.router import MAX_WARM_UP_WAIT_S
 from tests.exchanges import Client, loopback, request, until
 from tests.ingress.stage import ConnectionEnd, FakeServer, IngressHarness, ok, route
 
@@ -200,6 +201,42 @@
     assert reply.startswith("HTTP/1.1 200")
 
 
+@loopback
+async def test_a_server_gets_the_time_that_is_left_when_the_connection_is_ready():
+    async with (
+        FakeServer(ok()) as server,
+        BusyHarness(UNSAFE) as harness,
+        Client(harness.port) as client,
+    ):
+        harness.add(server, "i-1")
+        async with harness.held_connection():
+            await client.send(make_call())
+            await until(lambda: harness.ingress.open_requests == 2)
+            await asyncio.sleep(0.3)
+        await client.answer()
+    [line] = [line for line in server.requests[0].split("\r\n") if line.startswith("X-Deadline-Ms: ")]
+    assert 10_000 < int(line.partition(" ")[2]) <= 14_700
+
+
+@loopback
+async def test_requests_that_wait_long_for_a_connection_do_not_arrive_together_at_a_warming_server():
+    async with (
+        FakeServer(ok()) as warming,
+        FakeServer(ok()) as warm,
+        BusyHarness(UNSAFE) as harness,
+        Client(harness.port) as client,
+    ):
+        harness.add(warming, "i-1", warm_up_ms=10_000.0)
+        async with harness.held_connection():
+            await client.send(make_call())
+            await until(lambda: harness.ingress.open_requests == 2)
+            await asyncio.sleep(MAX_WARM_UP_WAIT_S + 0.1)
+            harness.add(warm, "i-2", zone="z-2")
+        reply = await client.answer()
+    assert (len(warming.requests), len(warm.requests)) == (0, 1)
+    assert reply.startswith("HTTP/1.1 200")
+
+
 @loopback
 async def test_a_change_that_leaves_a_route_leaves_the_send_that_waits():
     async with (
