--- a/benchmarks/system_soak.py
+++ b/benchmarks/system_soak.py
@@ -20,68 +20,28 @@
 import sys
 import tempfile
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 
 from rig.coordination.history import Outcome
-from rig.system.deployment import REGIONS, Program
-from rig.system.soak.applications import LONG_HOLDS, SHORT_HOLDS
+from rig.system.deployment import Program
 from rig.system.soak.checks import Finding, check
+from rig.system.soak.modes import Mode, draw_schedule, play_options
 from rig.system.soak.play import Play
 from rig.system.soak.record import Record
-from rig.system.soak.schedule import (
-    Schedule,
-    draw,
-    draw_with_core_freezes,
-    draw_with_crowds,
-    draw_with_overlaps,
-    draw_with_server_faults,
-)
-from rig.system.soak.servers import SERVER_FAULTS, faulty_runs, server_names
-
+from rig.system.soak.schedule import Schedule
+from rig.system.soak.servers import faulty_runs
+
+# The modes by the name of their option; without one the mode is `Mode.PLAIN`.
+MODE_OPTIONS = {
+    "faults": Mode.FAULTS,
+    "overlaps": Mode.OVERLAPS,
+    "core_freezes": Mode.CORE_FREEZES,
+    "crowds": Mode.CROWDS,
+}
 MAX_PRINTED_FINDINGS = 5  # of a seed
 
 
-def sidecar_names(sidecars: int) -> list[str]:
-    """Return the names of all sidecars, of which each region has `sidecars`."""
-    return [
-        f"sidecar-{region}" + (f"-{number}" if number > 1 else "")
-        for region in REGIONS
-        for number in range(1, sidecars + 1)
-    ]
-
-
-def draw_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
-    """Draw the schedule of a seed for a deployment with `sidecars` in each region."""
-    names = sidecar_names(sidecars)
-    return draw(seed, seconds, names, [f"control-{region}" for region in REGIONS], list(REGIONS))
-
-
-def draw_faults_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
-    """Draw the schedule of a seed with failures of servers."""
-    names = sidecar_names(sidecars)
-    controls = [f"control-{region}" for region in REGIONS]
-    return draw_with_server_faults(seed, seconds, names, controls, list(REGIONS), server_names())
-
-
-def draw_overlaps_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
-    """Draw the schedule of a seed with series of signals and changes that overlap."""
-    names = sidecar_names(sidecars)
-    controls = [f"control-{region}" for region in REGIONS]
-    return draw_with_overlaps(seed, seconds, names, controls, list(REGIONS), server_names())
-
-
-def draw_core_freezes_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
-    """Draw the schedule of a seed with freezes of control processes."""
-    controls = [f"control-{region}" for region in REGIONS]
-    return draw_with_core_freezes(seed, seconds, sidecar_names(sidecars), controls, list(REGIONS))
-
-
-def draw_crowds_schedule(seed: int, seconds: float, sidecars: int) -> Schedule:
-    """Draw the schedule of a seed with crowds of misbehaving clients."""
-    controls = [f"control-{region}" for region in REGIONS]
-    return draw_with_crowds(seed, seconds, sidecar_names(sidecars), controls, list(REGIONS))
-
-
 def summarize(schedule: Schedule, record: Record, findings: list[Finding]) -> str:
     """Return one line on a play and lines on its first findings."""
     served = sum(request.is_complete and request.status == 200 for request in record.requests)
@@ -121,16 +81,9 @@
     (target / "calls.txt").write_text("\n".join(map(str, calls)) + "\n")
 
 
-def _draw(seed: int, options: argparse.Namespace) -> Schedule:
-    if options.faults:
-        return draw_faults_schedule(seed, options.seconds, options.sidecars)
-    if options.overlaps:
-        return draw_overlaps_schedule(seed, options.seconds, options.sidecars)
-    if options.core_freezes:
-        return draw_core_freezes_schedule(seed, options.seconds, options.sidecars)
-    if options.crowds:
-        return draw_crowds_schedule(seed, options.seconds, options.sidecars)
-    return draw_schedule(seed, options.seconds, options.sidecars)
+def _mode(options: argparse.Namespace) -> Mode:
+    """Return the mode that the options name."""
+    return next((mode for option, mode in MODE_OPTIONS.items() if getattr(options, option)), Mode.PLAIN)
 
 
 def main() -> int:
@@ -145,30 +98,23 @@
     parser.add_argument("--sidecars", type=int, default=2, help="of each region")
     parser.add_argument("--clients", type=int, default=6, help="of each region")
     modes = parser.add_mutually_exclusive_group()
-    modes.add_argument("--faults", action="store_true", help="servers fail and routes' rules change")
-    modes.add_argument("--overlaps", action="store_true", help="faults, and series of signals and changes")
-    modes.add_argument("--core-freezes", action="store_true", help="control processes freeze beside locks")
-    modes.add_argument("--crowds", action="store_true", help="clients that do not keep to the protocol")
+    for option, mode in MODE_OPTIONS.items():
+        modes.add_argument(f"--{option.replace('_', '-')}", action="store_true", help=mode.value)
     parser.add_argument("--standing-rules", action="store_true", help="changes leave the routes' rules")
     parser.add_argument("--checkout", type=Path, help="folder of the program that is played")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed plays")
     options = parser.parse_args()
+    mode = _mode(options)
+    play_settings = replace(
+        play_options(mode, options.sidecars, options.clients),
+        program=Program(checkout=options.checkout),
+        changes_rules=not options.standing_rules,
+    )
     broken = 0
     for seed in options.seeds:
-        schedule = _draw(seed, options)
+        schedule = draw_schedule(mode, seed, options.seconds, options.sidecars)
         with tempfile.TemporaryDirectory() as play_folder:
-            play = Play(
-                schedule,
-                Path(play_folder),
-                options.sidecars,
-                options.clients,
-                program=Program(checkout=options.checkout),
-                server_faults=SERVER_FAULTS if options.faults or options.overlaps else None,
-                lock_use=LONG_HOLDS if options.core_freezes else SHORT_HOLDS,
-                keeps_connections=options.core_freezes or options.crowds,
-                has_crowds=options.crowds,
-                changes_rules=not options.standing_rules,
-            )
+            play = Play(schedule, Path(play_folder), play_settings)
             record = asyncio.run(play.run())
             findings = check(record)
             if findings and options.logs:
--- a/benchmarks/update_drill.py
+++ b/benchmarks/update_drill.py
@@ -18,10 +18,11 @@
 from collections import Counter
 from pathlib import Path
 
-from benchmarks.system_soak import parse_seeds, sidecar_names
-from rig.system.deployment import NEXT_PROGRAM, PROGRAM, REGIONS, Program
+from benchmarks.system_soak import parse_seeds
+from rig.system.deployment import NEXT_PROGRAM, PROGRAM, Program
 from rig.system.soak.checks import check
-from rig.system.soak.play import Play
+from rig.system.soak.modes import control_names, sidecar_names
+from rig.system.soak.play import Play, PlayOptions
 from rig.system.soak.record import Record
 from rig.system.soak.schedule import draw_update
 
@@ -72,13 +73,13 @@
     options = parser.parse_args()
     program, updated = (options.older, PROGRAM) if options.older else (PROGRAM, NEXT_PROGRAM)
     sidecars = sidecar_names(options.sidecars)
-    controls = [f"control-{region}" for region in REGIONS]
+    play_options = PlayOptions(options.sidecars, options.clients, program, updated)
     broken = 0
     for seed in options.seeds:
         for versions in (True, False):
-            schedule = draw_update(seed, sidecars, controls, versions)
+            schedule = draw_update(seed, sidecars, control_names(), versions)
             with tempfile.TemporaryDirectory() as folder:
-                play = Play(schedule, Path(folder), options.sidecars, options.clients, program, updated)
+                play = Play(schedule, Path(folder), play_options)
                 record = asyncio.run(play.run())
                 findings = check(record)
             broken += len(findings)
--- a/rig/system/soak/checks.py
+++ b/rig/system/soak/checks.py
@@ -39,6 +39,17 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class LoggedAttempt:
+    """What a machine's log tells of one attempt to send a request."""
+
+    machine: str
+    number: int
+    server: str
+    generation: int
+    after: str | None
+
+
 def check(record: Record) -> list[Finding]:
     """Return all breaches in the record of a play."""
     checks = (
@@ -202,28 +213,34 @@
             yield Finding("LOG", f"{machine}: {line[:1000]}")
 
 
-def _attempts_by_request(record: Record) -> defaultdict[str, list[str]]:
+def _attempts_by_request(record: Record) -> defaultdict[str, list[LoggedAttempt]]:
     """Return what the logs tell of the attempts of each request, by its id."""
-    attempts: defaultdict[str, list[str]] = defaultdict(list)
+    attempts: defaultdict[str, list[LoggedAttempt]] = defaultdict(list)
     for machine, line in record.log_lines:
-        if ATTEMPT_EVENT not in line:
-            continue
-        event = json.loads(line)
-        attempts[event["request_id"]].append(
-            f"{machine}, attempt {event['attempt']} at {event['server']} by generation "
-            f"{event['generation']}, after {event['after']!r}"
-        )
+        if ATTEMPT_EVENT in line:
+            event = json.loads(line)
+            attempt = LoggedAttempt(
+                machine, event["attempt"], event["server"], event["generation"], event["after"]
+            )
+            attempts[event["request_id"]].append(attempt)
     return attempts
 
 
 def _check_attempts(record: Record) -> Iterator[Finding]:
-    """Check that the logs tell of each run who sent the request; programs before this event tell of none."""
+    """Check that the logs tell of each run who sent the request, and that no request was handled twice.
+
+    Clients use no id twice, so that two first attempts are those of two handlers. Programs from before this
+    event log none.
+    """
     attempts = _attempts_by_request(record)
     if not attempts:
         return
     for request_id, runs in _runs_by_request(record).items():
         if len(runs) > len(attempts[request_id]):
             yield Finding("LOG", f"{request_id} began {len(runs)} runs, in the logs: {attempts[request_id]}")
+    for request_id, logged in attempts.items():
+        if sum(attempt.number == 1 for attempt in logged) > 1:
+            yield Finding("TWICE", f"{request_id} was handled twice: {logged}")
 
 
 def _check_versions(record: Record) -> Iterator[Finding]:
--- a/rig/system/soak/play.py
+++ b/rig/system/soak/play.py
@@ -9,6 +9,7 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
@@ -119,70 +120,74 @@
             self._kill_task.cancel()
 
 
+@dataclass(frozen=True, slots=True)
+class PlayOptions:
+    """What is played.
+
+    Attributes:
+        sidecars: Number of sidecars in each region.
+        clients: Number of clients in each region.
+        program: Version that all machines start with and are reverted to.
+        updated: Version that they are updated to.
+        server_faults: How the servers fail requests; `None` if they do not.
+        changes_rules: Whether changes touch the routes' rules while servers fail requests.
+        lock_use: How the applications use locks.
+        keeps_connections: Whether all callers use connections for as long as they are open.
+        has_crowds: Whether processes have the limits that crowds of misbehaving clients are meant for.
+    """
+
+    sidecars: int
+    clients: int
+    program: Program = PROGRAM
+    updated: Program = NEXT_PROGRAM
+    server_faults: ServerFaults | None = None
+    changes_rules: bool = True
+    lock_use: LockUse = SHORT_HOLDS
+    keeps_connections: bool = False
+    has_crowds: bool = False
+
+
 class Play:
     """One run of a schedule on a deployment with clients, an operator and applications."""
 
-    def __init__(
-        self,
-        schedule: Schedule,
-        folder: Path,
-        sidecars: int,
-        clients: int,
-        program: Program = PROGRAM,
-        updated: Program = NEXT_PROGRAM,
-        server_faults: ServerFaults | None = None,
-        lock_use: LockUse = SHORT_HOLDS,
-        keeps_connections: bool = False,
-        has_crowds: bool = False,
-        changes_rules: bool = True,
-    ) -> None:
+    def __init__(self, schedule: Schedule, folder: Path, options: PlayOptions) -> None:
         """Create the deployment and its clients.
 
         Args:
             schedule: Steps of the play.
             folder: Folder for the settings, data and logs of the machines.
-            sidecars: Number of sidecars in each region.
-            clients: Number of clients in each region.
-            program: Version that all machines start with and are reverted to.
-            updated: Version that they are updated to.
-            server_faults: How the servers fail requests; `None` if they do not.
-            lock_use: How the applications use locks.
-            keeps_connections: Whether all callers use connections for as long as they are open.
-            has_crowds: Whether processes have the limits that crowds of misbehaving clients are meant for.
-            changes_rules: Whether changes touch the routes' rules while servers fail requests.
+            options: What is played.
         """
         self.record = Record(GRACE_S)
         self._schedule = schedule
-        self._program, self._updated = program, updated
-        limits = crowds.LIMITS if has_crowds else None
-        self._deployment = Deployment(folder, sidecars, GRACE_S, limits)
-        self._has_crowds = has_crowds
+        self._options = options
+        limits = crowds.LIMITS if options.has_crowds else None
+        self._deployment = Deployment(folder, options.sidecars, GRACE_S, limits)
         self._crowds_rng = random.Random(f"crowds {schedule.seed}")
-        self._supervisors = {m.name: Supervisor(m, self.record, program) for m in self._deployment.machines}
+        self._supervisors = {
+            machine.name: Supervisor(machine, self.record, options.program)
+            for machine in self._deployment.machines
+        }
         self._rng = random.Random(schedule.seed)
         # Separate, so that the draws of the other parts stay the same.
         applications_rng = random.Random(f"applications {schedule.seed}")
-        self._applications = Applications(self._deployment, self.record, applications_rng, lock_use)
+        self._applications = Applications(self._deployment, self.record, applications_rng, options.lock_use)
         operator_rng = random.Random(self._rng.random())
-        has_changing_rules = server_faults is not None and changes_rules
-        self._operator = Operator(
-            self._deployment, self.record, operator_rng, self._rules(has_changing_rules)
-        )
-        self._keeps_connections = keeps_connections
-        keeps_fronts = keeps_connections or server_faults is not None
+        self._operator = Operator(self._deployment, self.record, operator_rng, self._rules())
+        keeps_fronts = options.keeps_connections or options.server_faults is not None
         self._clients = [
             Client(self._deployment, region, self.record, random.Random(self._rng.random()), keeps_fronts)
             for region in REGIONS
-            for _ in range(clients)
+            for _ in range(options.clients)
         ]
 
-        self.record.has_server_faults = server_faults is not None
+        self.record.has_server_faults = options.server_faults is not None
         faults_rng = random.Random(f"faults {schedule.seed}")
-        self._servers = Servers(self._deployment, self.record.runs.append, faults_rng, server_faults)
+        self._servers = Servers(self._deployment, self.record.runs.append, faults_rng, options.server_faults)
 
-    def _rules(self, has_changing_rules: bool) -> Callable[[], tuple[RouteRule, ...]]:
+    def _rules(self) -> Callable[[], tuple[RouteRule, ...]]:
         """Return the source of the rules of each configuration."""
-        if not has_changing_rules:
+        if self._options.server_faults is None or not self._options.changes_rules:
             return standing_rules
         rules_rng = random.Random(f"rules {self._schedule.seed}")
         source = RuleSource(rules_rng, [kind.path for kind in KINDS])
@@ -192,7 +197,7 @@
     async def run(self) -> Record:
         """Play the schedule and return its record."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(limit=0, force_close=not self._keeps_connections)
+        connector = aiohttp.TCPConnector(limit=0, force_close=not self._options.keeps_connections)
         async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
             try:
                 await self._servers.start()
@@ -228,7 +233,7 @@
             memory.cancel()
 
     async def _record_memory(self) -> None:
-        if self._has_crowds:
+        if self._options.has_crowds:
             await crowds.record_memory(self._deployment.machines, self.record)
 
     def _execute(
@@ -254,9 +259,9 @@
             case Action.ROLL:
                 self._supervisors[step.target].terminate()
             case Action.UPDATE:
-                self._supervisors[step.target].replace(self._updated)
+                self._supervisors[step.target].replace(self._options.updated)
             case Action.REVERT:
-                self._supervisors[step.target].replace(self._program)
+                self._supervisors[step.target].replace(self._options.program)
             case Action.HUP:
                 self._supervisors[step.target].send(signal.SIGHUP)
             case Action.KILL:
--- a/rig/system/soak/schedule.py
+++ b/rig/system/soak/schedule.py
@@ -56,6 +56,16 @@
     for_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """The names of what a schedule acts on."""
+
+    sidecars: list[str]
+    controls: list[str]
+    regions: list[str]
+    servers: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Schedule:
     """The duration of a play, whether it has only planned work, and its steps in order of time."""
@@ -78,67 +88,55 @@
     return tuple(sorted((step for step in steps if step.at < until), key=lambda step: step.at))
 
 
-def draw(
-    seed: int, duration_s: float, sidecars: list[str], controls: list[str], regions: list[str]
-) -> Schedule:
+def draw(seed: int, duration_s: float, targets: Targets) -> Schedule:
     """Draw a schedule of overlapping rolls and changes. Even seeds have failures, too."""
     rng = random.Random(seed)
     planned_only = seed % 2 == 1
     until = duration_s - SETTLE_S
     steps: list[Step] = []
     for at in _draw_times(rng, until, 4.0, 9.0):
-        steps += _draw_series(rng, at, sidecars, Action.ROLL)
+        steps += _draw_series(rng, at, targets.sidecars, Action.ROLL)
     for at in _draw_times(rng, until, 6.0, 12.0):
-        steps += _draw_series(rng, at, controls, Action.ROLL)
+        steps += _draw_series(rng, at, targets.controls, Action.ROLL)
     for at in _draw_times(rng, until, 0.2, 1.0):
         steps.append(Step(at, Action.CHANGE))
     for at in _draw_times(rng, until, 3.0, 8.0):
-        steps += _draw_series(rng, at, rng.sample(sidecars, 1 + len(sidecars) // 3), Action.HUP)
+        steps += _draw_series(
+            rng, at, rng.sample(targets.sidecars, 1 + len(targets.sidecars) // 3), Action.HUP
+        )
     for at in _draw_times(rng, until, 5.0, 15.0):
-        steps.append(Step(at, Action.EVACUATE, rng.choice(regions), rng.uniform(1.0, 4.0)))
+        steps.append(Step(at, Action.EVACUATE, rng.choice(targets.regions), rng.uniform(1.0, 4.0)))
     if not planned_only:
         for at in _draw_times(rng, until, 3.0, 8.0):
             action = rng.choice((Action.KILL, Action.FREEZE))
-            target = rng.choice(sidecars + controls)
+            target = rng.choice(targets.sidecars + targets.controls)
             steps.append(Step(at, action, target, rng.uniform(*FREEZE_S)))
     return Schedule(seed, duration_s, planned_only, _order(steps, until))
 
 
-def draw_with_server_faults(
-    seed: int,
-    duration_s: float,
-    sidecars: list[str],
-    controls: list[str],
-    regions: list[str],
-    servers: list[str],
-) -> Schedule:
+def draw_with_server_faults(seed: int, duration_s: float, targets: Targets) -> Schedule:
     """Draw a schedule with failures of all kinds, which overlap: those of `draw`, and those of servers.
 
     Args:
         seed: Seed of the random source.
         duration_s: The duration of the play.
-        sidecars: Names of the sidecars.
-        controls: Names of the control processes.
-        regions: Names of the regions.
-        servers: Names of the model servers.
+        targets: What the schedule acts on.
     """
     rng = random.Random(f"storm {seed}")
     even_seed = 2 * seed  # with failures
-    steps = list(draw(even_seed, duration_s, sidecars, controls, regions).steps)
+    steps = list(draw(even_seed, duration_s, targets).steps)
     until = duration_s - SETTLE_S
     for at in _draw_times(rng, until, 1.0, 4.0):
         action = rng.choice(SERVER_ACTIONS)
-        steps.append(Step(at, action, rng.choice(servers), rng.uniform(*SERVER_FAULT_S)))
+        steps.append(Step(at, action, rng.choice(targets.servers), rng.uniform(*SERVER_FAULT_S)))
     steps += [
-        Step(at, Action.FREEZE, rng.choice(sidecars), rng.uniform(*LONG_FREEZE_S))
+        Step(at, Action.FREEZE, rng.choice(targets.sidecars), rng.uniform(*LONG_FREEZE_S))
         for at in _draw_times(rng, until, 3.0, 8.0)
     ]
     return Schedule(seed, duration_s, False, _order(steps, until))
 
 
-def draw_with_core_freezes(
-    seed: int, duration_s: float, sidecars: list[str], controls: list[str], regions: list[str]
-) -> Schedule:
+def draw_with_core_freezes(seed: int, duration_s: float, targets: Targets) -> Schedule:
     """Draw a schedule with failures, and with freezes of control processes that may overlap.
 
     In even seeds nothing else happens to control processes, so that locks are granted most of the time.
@@ -146,26 +144,22 @@
     Args:
         seed: Seed of the random source.
         duration_s: The duration of the play.
-        sidecars: Names of the sidecars.
-        controls: Names of the control processes.
-        regions: Names of the regions.
+        targets: What the schedule acts on.
     """
     rng = random.Random(f"core freezes {seed}")
     seed_with_failures = 2 * seed
-    steps = list(draw(seed_with_failures, duration_s, sidecars, controls, regions).steps)
+    steps = list(draw(seed_with_failures, duration_s, targets).steps)
     if seed % 2 == 0:
-        steps = [step for step in steps if step.target not in controls]
+        steps = [step for step in steps if step.target not in targets.controls]
     until = duration_s - SETTLE_S
     steps += [
-        Step(at, Action.FREEZE, rng.choice(controls), rng.uniform(*CORE_FREEZE_S))
+        Step(at, Action.FREEZE, rng.choice(targets.controls), rng.uniform(*CORE_FREEZE_S))
         for at in _draw_times(rng, until, 1.0, 5.0)
     ]
     return Schedule(seed, duration_s, False, _order(steps, until))
 
 
-def draw_with_crowds(
-    seed: int, duration_s: float, sidecars: list[str], controls: list[str], regions: list[str]
-) -> Schedule:
+def draw_with_crowds(seed: int, duration_s: float, targets: Targets) -> Schedule:
     """Draw a schedule with failures and with crowds of misbehaving clients, which overlap.
 
     In odd seeds nothing fails, so that processes end only by planned work.
@@ -173,28 +167,19 @@
     Args:
         seed: Seed of the random source.
         duration_s: The duration of the play.
-        sidecars: Names of the sidecars.
-        controls: Names of the control processes.
-        regions: Names of the regions.
+        targets: What the schedule acts on.
     """
     rng = random.Random(f"crowds {seed}")
-    base = draw(seed, duration_s, sidecars, controls, regions)
+    base = draw(seed, duration_s, targets)
     until = duration_s - SETTLE_S
     crowds = [
-        Step(at, Action.CROWD, rng.choice(sidecars + controls), rng.uniform(*CROWD_S))
+        Step(at, Action.CROWD, rng.choice(targets.sidecars + targets.controls), rng.uniform(*CROWD_S))
         for at in _draw_times(rng, until, 1.0, 4.0)
     ]
     return Schedule(seed, duration_s, base.planned_only, _order([*base.steps, *crowds], until))
 
 
-def draw_with_overlaps(
-    seed: int,
-    duration_s: float,
-    sidecars: list[str],
-    controls: list[str],
-    regions: list[str],
-    servers: list[str],
-) -> Schedule:
+def draw_with_overlaps(seed: int, duration_s: float, targets: Targets) -> Schedule:
     """Draw a schedule with failures of all kinds, and with series of signals and changes that overlap.
 
     A series sends signals to one machine faster than its process can start or leave.
@@ -202,19 +187,16 @@
     Args:
         seed: Seed of the random source.
         duration_s: The duration of the play.
-        sidecars: Names of the sidecars.
-        controls: Names of the control processes.
-        regions: Names of the regions.
-        servers: Names of the model servers.
+        targets: What the schedule acts on.
     """
     rng = random.Random(f"overlaps {seed}")
-    base = draw_with_server_faults(seed, duration_s, sidecars, controls, regions, servers)
+    base = draw_with_server_faults(seed, duration_s, targets)
     until = duration_s - SETTLE_S
     steps = list(base.steps)
     for at in _draw_times(rng, until, 1.0, 4.0):
-        steps += _draw_signals(rng, at, rng.choice(sidecars))
+        steps += _draw_signals(rng, at, rng.choice(targets.sidecars))
     for at in _draw_times(rng, until, 8.0, 16.0):
-        steps += _draw_signals(rng, at, rng.choice(controls))
+        steps += _draw_signals(rng, at, rng.choice(targets.controls))
     for at in _draw_times(rng, until, 2.0, 6.0):
         steps += [
             Step(change_at, Action.CHANGE)
--- a/tests/rig/system/planted.py
+++ b/tests/rig/system/planted.py
@@ -15,17 +15,18 @@
 import tempfile
 from pathlib import Path
 
-from benchmarks.system_soak import draw_schedule
+from rig.system.deployment import Program
 from rig.system.soak.checks import check
-from rig.system.soak.play import Play
+from rig.system.soak.modes import Mode, draw_schedule
+from rig.system.soak.play import Play, PlayOptions
 from tests.guards import GUARDS, VARIABLE
 
-PROGRAM = (
+ARGUMENTS = (
     "-c",
     "from tests.guards import take_out; take_out(); import sys; from fordtrestle.__main__ import main; "
     "sys.exit(main(sys.argv[1:]))",
 )
-SIDECARS, CLIENTS = 2, 8
+OPTIONS = PlayOptions(sidecars=2, clients=8, program=Program(ARGUMENTS))
 PLANTED = (
     "a draining server closes idle connections",
     "a leaving sidecar is selected if its region has no other",
@@ -43,8 +44,8 @@
     os.environ[VARIABLE] = name
     try:
         with tempfile.TemporaryDirectory() as folder:
-            schedule = draw_schedule(seed, seconds, SIDECARS)
-            record = asyncio.run(Play(schedule, Path(folder), SIDECARS, CLIENTS, PROGRAM).run())
+            schedule = draw_schedule(Mode.PLAIN, seed, seconds, OPTIONS.sidecars)
+            record = asyncio.run(Play(schedule, Path(folder), OPTIONS).run())
     finally:
         del os.environ[VARIABLE]
     return {finding.rule for finding in check(record)}
--- a/tests/rig/system/test_soak.py
+++ b/tests/rig/system/test_soak.py
@@ -5,21 +5,16 @@
 import asyncio
 import json
 import random
+from itertools import pairwise
 
 import pytest
 
-from benchmarks.system_soak import (
-    draw_core_freezes_schedule,
-    draw_crowds_schedule,
-    draw_faults_schedule,
-    draw_schedule,
-    summarize,
-)
+from benchmarks.system_soak import summarize
 from fordtrestle.ingress.send_log import ATTEMPT_EVENT
 from rig.system.model_server import Run
-from rig.system.soak.applications import LONG_HOLDS
 from rig.system.soak.checks import check
 from rig.system.soak.clients import KINDS, standing_rules
+from rig.system.soak.modes import Mode, draw_schedule, play_options
 from rig.system.soak.play import Play
 from rig.system.soak.record import (
     ClientRequest,
@@ -30,8 +25,16 @@
     Record,
 )
 from rig.system.soak.route_changes import ConfigurationVersion, RouteRule, RuleSource, allowed_runs
-from rig.system.soak.schedule import CORE_FREEZE_S, PLANNED, SERVER_ACTIONS, UPDATES, Action, draw_update
-from rig.system.soak.servers import SERVER_FAULTS
+from rig.system.soak.schedule import (
+    CORE_FREEZE_S,
+    PLANNED,
+    SERIES_GAP_S,
+    SERIES_SIGNALS,
+    SERVER_ACTIONS,
+    UPDATES,
+    Action,
+    draw_update,
+)
 
 CHAT, NOTE, ORDER, LONG = KINDS
 DURATION_S = 20.0
@@ -39,6 +42,8 @@
 SERVER_FAULT_SEEDS = (6, 10)  # without a frozen control process
 CORE_FREEZE_SEEDS = (2, 7)
 CORE_FREEZES_DURATION_S = 50.0
+OVERLAP_SEEDS = (3, 14)
+OVERLAPS_DURATION_S = 30.0
 FRONT, OTHER = "a:80", "b:80"
 
 
@@ -173,6 +178,7 @@
     ),
     "MIXED the response to another request": record(requests=[request(answered_id="r")]),
     "ROUTE a server of another service": record(runs=[Run("q", "east-1", 10.0, "others")]),
+    "TWICE a request that two handlers have sent": record(log_lines=[attempt_line("q"), attempt_line("q")]),
     "LOG a run of which the log does not tell": record(
         runs=[Run("q", "east-1", 10.0)], log_lines=[attempt_line("r")]
     ),
@@ -214,8 +220,8 @@
 
 
 def test_a_schedule_with_server_faults_has_failures_of_servers_and_changes_of_each_rule():
-    schedule = draw_faults_schedule(1, 60.0, 2)
-    assert schedule == draw_faults_schedule(1, 60.0, 2) != draw_faults_schedule(2, 60.0, 2)
+    schedule = draw_schedule(Mode.FAULTS, 1, 60.0, 2)
+    assert schedule == draw_schedule(Mode.FAULTS, 1, 60.0, 2) != draw_schedule(Mode.FAULTS, 2, 60.0, 2)
     assert set(SERVER_ACTIONS) | {Action.KILL, Action.FREEZE, Action.ROLL} <= {
         step.action for step in schedule.steps
     }
@@ -228,8 +234,29 @@
 
 @pytest.mark.parametrize("seed", SERVER_FAULT_SEEDS)
 def test_a_seed_with_server_faults_is_played_and_breaks_nothing(tmp_path, seed):
-    schedule = draw_faults_schedule(seed, DURATION_S, 2)
-    play = Play(schedule, tmp_path, sidecars=2, clients=6, server_faults=SERVER_FAULTS)
+    schedule = draw_schedule(Mode.FAULTS, seed, DURATION_S, 2)
+    play = Play(schedule, tmp_path, play_options(Mode.FAULTS, sidecars=2, clients=6))
+    play_record = asyncio.run(play.run())
+    findings = check(play_record)
+    assert not findings, summarize(schedule, play_record, findings)
+
+
+def test_a_schedule_with_overlaps_has_series_of_signals_to_one_machine_and_series_of_changes():
+    schedule = draw_schedule(Mode.OVERLAPS, 1, 60.0, 2)
+    assert schedule == draw_schedule(Mode.OVERLAPS, 1, 60.0, 2) != draw_schedule(Mode.OVERLAPS, 2, 60.0, 2)
+    base = draw_schedule(Mode.FAULTS, 1, 60.0, 2)
+    series = [step for step in schedule.steps if step not in base.steps]
+    signals = [step for step in series if step.target]
+    assert {step.action for step in signals} == set(SERIES_SIGNALS)
+    gaps = [after.at - before.at for before, after in pairwise(signals) if after.target == before.target]
+    assert sum(gap <= SERIES_GAP_S[1] for gap in gaps) >= 10
+    assert sum(step.action is Action.CHANGE for step in series) >= 10
+
+
+@pytest.mark.parametrize("seed", OVERLAP_SEEDS)
+def test_a_seed_with_overlaps_is_played_and_breaks_nothing(tmp_path, seed):
+    schedule = draw_schedule(Mode.OVERLAPS, seed, OVERLAPS_DURATION_S, 2)
+    play = Play(schedule, tmp_path, play_options(Mode.OVERLAPS, sidecars=2, clients=6))
     play_record = asyncio.run(play.run())
     findings = check(play_record)
     assert not findings, summarize(schedule, play_record, findings)
@@ -237,8 +264,8 @@
 
 def test_a_schedule_with_core_freezes_has_them_beside_failures_of_the_core_or_alone():
     for seed in range(1, 11):
-        schedule = draw_core_freezes_schedule(seed, 60.0, 2)
-        assert schedule == draw_core_freezes_schedule(seed, 60.0, 2)
+        schedule = draw_schedule(Mode.CORE_FREEZES, seed, 60.0, 2)
+        assert schedule == draw_schedule(Mode.CORE_FREEZES, seed, 60.0, 2)
         on_controls = [step for step in schedule.steps if step.target.startswith("control-")]
         freezes = [step for step in on_controls if step.action is Action.FREEZE]
         assert len(freezes) >= 10
@@ -249,8 +276,8 @@
 
 @pytest.mark.parametrize("seed", CORE_FREEZE_SEEDS)
 def test_a_seed_with_core_freezes_is_played_and_breaks_nothing(tmp_path, seed):
-    schedule = draw_core_freezes_schedule(seed, CORE_FREEZES_DURATION_S, 2)
-    play = Play(schedule, tmp_path, sidecars=2, clients=2, lock_use=LONG_HOLDS, keeps_connections=True)
+    schedule = draw_schedule(Mode.CORE_FREEZES, seed, CORE_FREEZES_DURATION_S, 2)
+    play = Play(schedule, tmp_path, play_options(Mode.CORE_FREEZES, sidecars=2, clients=2))
     play_record = asyncio.run(play.run())
     findings = check(play_record)
     assert not findings, summarize(schedule, play_record, findings)
@@ -258,8 +285,8 @@
 
 def test_a_schedule_with_crowds_has_them_beside_what_else_happens():
     for seed in (3, 4):
-        schedule = draw_crowds_schedule(seed, 60.0, 2)
-        assert schedule == draw_crowds_schedule(seed, 60.0, 2)
+        schedule = draw_schedule(Mode.CROWDS, seed, 60.0, 2)
+        assert schedule == draw_schedule(Mode.CROWDS, seed, 60.0, 2)
         crowds = [step for step in schedule.steps if step.action is Action.CROWD]
         assert len(crowds) >= 10
         assert {step.target.partition("-")[0] for step in crowds} == {"sidecar", "control"}
@@ -274,15 +301,21 @@
 
 
 def test_a_seed_draws_the_same_schedule_and_odd_ones_planned_work_only():
-    assert draw_schedule(3, 60.0, 2) == draw_schedule(3, 60.0, 2) != draw_schedule(5, 60.0, 2)
-    assert {step.action for step in draw_schedule(3, 60.0, 2).steps} == PLANNED
-    assert {Action.KILL, Action.FREEZE} <= {step.action for step in draw_schedule(4, 60.0, 2).steps}
+    assert (
+        draw_schedule(Mode.PLAIN, 3, 60.0, 2)
+        == draw_schedule(Mode.PLAIN, 3, 60.0, 2)
+        != draw_schedule(Mode.PLAIN, 5, 60.0, 2)
+    )
+    assert {step.action for step in draw_schedule(Mode.PLAIN, 3, 60.0, 2).steps} == PLANNED
+    assert {Action.KILL, Action.FREEZE} <= {
+        step.action for step in draw_schedule(Mode.PLAIN, 4, 60.0, 2).steps
+    }
 
 
 @pytest.mark.parametrize("seed", [PLANNED_SEED, FAILURE_SEED])
 def test_a_seed_is_played_and_breaks_nothing(tmp_path, seed):
-    schedule = draw_schedule(seed, DURATION_S, 2)
-    play_record = asyncio.run(Play(schedule, tmp_path, sidecars=2, clients=4).run())
+    schedule = draw_schedule(Mode.PLAIN, seed, DURATION_S, 2)
+    play_record = asyncio.run(Play(schedule, tmp_path, play_options(Mode.PLAIN, sidecars=2, clients=4)).run())
     findings = check(play_record)
     assert not findings, summarize(schedule, play_record, findings)
 
