Guard on the continuation of streams: shown by the router's own test

The failing test was the guard 'a stream is continued only if the route of now allows it': without it the send is now withdrawn when its connection is ready, so that no request runs and the test over sockets passes. The router's own decision is asserted by tests/routing/test_router.py, which fails without the guard; the guard names that test now. The test over sockets stays.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -735,7 +735,7 @@
     ),
     "a stream is continued only if the route of now allows it": _removal(
         "routing/router.py",
-        ROUTE_CHANGES,
+        "tests/routing/test_router.py",
         "        attempts.restrict(route)\n        if not self._can_run(attempts, now):\n"
         "            return None\n",
     ),
