--- a/fordtrestle/forward/checked_connector.py
+++ b/fordtrestle/forward/checked_connector.py
@@ -19,8 +19,22 @@
 # Returns whether the request may be written, and updates its headers.
 Check = Callable[[CIMultiDict[str]], bool]
 
+
+class _CheckHolder:
+    """Holds the check of a send while it lasts.
+
+    A connection that the send opens keeps a copy of its context, and so the holder, for as long as it lives.
+    The check refers to the whole request.
+    """
+
+    __slots__ = ("check",)
+
+    def __init__(self, check: Check) -> None:
+        self.check: Check | None = check
+
+
 # aiohttp passes nothing from a request to its connector; the check belongs to the task that sends.
-_current_check: ContextVar[Check | None] = ContextVar("current_check", default=None)
+_current_check: ContextVar[_CheckHolder | None] = ContextVar("current_check", default=None)
 
 
 class SendWithdrawnError(aiohttp.ClientError):
@@ -30,10 +44,12 @@
 @contextmanager
 def checked_by(check: Check) -> Iterator[None]:
     """Check the sends of this task within the block, each with the headers that will be written."""
-    token = _current_check.set(check)
+    holder = _CheckHolder(check)
+    token = _current_check.set(holder)
     try:
         yield
     finally:
+        holder.check = None
         _current_check.reset(token)
 
 
@@ -52,8 +68,8 @@
             SendWithdrawnError: The send is no longer allowed; the connection is kept for others.
         """
         connection = await super().connect(req, traces, timeout)
-        check = _current_check.get()
-        if check is not None and not check(req.headers):
+        holder = _current_check.get()
+        if holder is not None and holder.check is not None and not holder.check(req.headers):
             connection.release()
             raise SendWithdrawnError("the send is no longer allowed")
         return connection
