A second run without a response is reset when a new configuration forbids it

Cause: permission was asked until the request was written; what a server had not begun by the change stayed with it (class: a decision older than its act).

The attempts of a request now tell their sender when a route forbids the run under way. It resets the connection (RST, unsent bytes dropped); the result is Revoked, which proves nothing, and the client gets 502. Most servers drop a request whose connection closes. A first run, and a run whose response has begun, are left alone.

Measured: tests/ingress/test_revoked_sends.py, 4 of 8 cases failed without the call of the sender, one with a close or an abort in place of the reset; three guards.

--- a/fordtrestle/forward/checked_connector.py
+++ b/fordtrestle/forward/checked_connector.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -16,8 +17,8 @@
 from aiohttp.tracing import Trace
 from multidict import CIMultiDict
 
-# Returns whether the request may be written, and updates its headers.
-Check = Callable[[CIMultiDict[str]], bool]
+# Returns whether the request may be written on a connection, and updates its headers.
+Check = Callable[[CIMultiDict[str], asyncio.Transport | None], bool]
 
 
 class _CheckHolder:
@@ -69,7 +70,8 @@
         """
         connection = await super().connect(req, traces, timeout)
         holder = _current_check.get()
-        if holder is not None and holder.check is not None and not holder.check(req.headers):
+        check = holder.check if holder is not None else None
+        if check is not None and not check(req.headers, connection.transport):
             connection.release()
             raise SendWithdrawnError("the send is no longer allowed")
         return connection
--- a/fordtrestle/forward/client.py
+++ b/fordtrestle/forward/client.py
@@ -101,8 +101,8 @@
             address: The address of the server, `HOST:PORT`.
             outbound: The request.
             deadline: The deadline, in seconds of the loop's clock.
-            check: Called with the headers when a connection is ready; returns whether the request may still
-                be sent, and may update the headers.
+            check: Called with the headers and the connection's transport when a connection is ready; returns
+                whether the request may still be sent, and may update the headers.
 
         Returns:
             The result. The caller must release the connection of an `Answered` result.
--- a/fordtrestle/forward/connections.py
+++ b/fordtrestle/forward/connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import struct
 from functools import partial
 from typing import Any
 
@@ -32,6 +33,8 @@
 PROBE_INTERVAL_S = 1
 MAX_UNANSWERED_PROBES = 1
 
+_NO_LINGER = struct.pack("ii", 1, 0)  # closing resets the connection (SO_LINGER, socket(7))
+
 
 class _ResponseProtocol(ResponseHandler):
     """aiohttp's client protocol, except that a connection reset never completes a response, and short reads.
@@ -69,6 +72,16 @@
     return connector
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection that is not closed (RST), and drop what is unsent."""
+    if transport.is_closing():
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
+
+
 def set_keep_alive(connector: aiohttp.TCPConnector, keep_alive_s: float) -> None:
     """Set how long idle connections are kept, for which aiohttp has no public API."""
     connector._keepalive_timeout = keep_alive_s
--- a/fordtrestle/forward/results.py
+++ b/fordtrestle/forward/results.py
@@ -45,11 +45,23 @@
     """The connection ended, or received data that is no response to this request: it may have run."""
 
 
+@dataclass(frozen=True, slots=True)
+class Revoked:
+    """This sidecar reset the connection, because a new configuration forbids the run: it may have run."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlineExceeded:
     """The deadline passed after the request was sent: the server may still be running it."""
 
 
 SendResult = (
-    Answered | RejectedByServer | ConnectFailed | NotSent | Withdrawn | ConnectionBroken | DeadlineExceeded
+    Answered
+    | RejectedByServer
+    | ConnectFailed
+    | NotSent
+    | Withdrawn
+    | ConnectionBroken
+    | Revoked
+    | DeadlineExceeded
 )
--- a/fordtrestle/ingress/outcome_recorder.py
+++ b/fordtrestle/ingress/outcome_recorder.py
@@ -18,6 +18,7 @@
     DeadlineExceeded,
     NotSent,
     RejectedByServer,
+    Revoked,
     SendResult,
     Withdrawn,
 )
@@ -70,6 +71,8 @@
                 self._attempts.withdrawals += 1
             case ConnectionBroken():
                 self._on_broken_connection(server, now)
+            case Revoked():
+                self._attempts.may_have_run = True
             case DeadlineExceeded():
                 self._on_deadline_exceeded(server, now - elapsed_s)
 
--- a/fordtrestle/ingress/request_handler.py
+++ b/fordtrestle/ingress/request_handler.py
@@ -19,6 +19,7 @@
     DeadlineExceeded,
     NotSent,
     RejectedByServer,
+    Revoked,
     Withdrawn,
 )
 from fordtrestle.ingress import responses
@@ -111,7 +112,7 @@
                 return None if can_retry else self._reject_on_route(route, "no server can be reached")
             case NotSent():
                 return self._reject_on_route(route, "the time is up")
-            case ConnectionBroken() | Withdrawn():
+            case ConnectionBroken() | Withdrawn() | Revoked():
                 return None
             case DeadlineExceeded():
                 return responses.deadline_exceeded(request_id)
--- a/fordtrestle/ingress/request_sender.py
+++ b/fordtrestle/ingress/request_sender.py
@@ -7,9 +7,10 @@
 
 from multidict import CIMultiDict
 
+from fordtrestle.forward import connections
 from fordtrestle.forward.client import OutboundRequest
 from fordtrestle.forward.headers import LAST_EVENT_ID, PRIORITY, headers_for_server, update_deadline
-from fordtrestle.forward.results import Answered, SendResult
+from fordtrestle.forward.results import Answered, ConnectionBroken, Revoked, SendResult
 from fordtrestle.ingress.inbound_request import HandlerContext, InboundRequest
 from fordtrestle.ingress.outcome_recorder import OutcomeRecorder
 from fordtrestle.ingress.send_log import Attempt, Proof, proof_of
@@ -47,6 +48,7 @@
         self._current: SendTo | None = None  # the send that is in flight
         self._sent_at = 0.0  # in seconds of the loop's clock
         self._is_answered = False  # whether the head of the current server's response was received
+        self._is_revoked = False  # whether the current send's connection was reset by this sidecar
 
     async def send(self, send: SendTo, last_event_id: str = "") -> SendResult:
         """Send the request to one server, and record the result.
@@ -65,6 +67,7 @@
         self._mark_in_flight(send)
         self._sent_at = loop.time()
         self._is_answered = False
+        self._is_revoked = False
         self._log_attempt(send)
         tokens = self._inbound.prompt.own_tokens or 0
         server.prefill_tokens += tokens
@@ -76,7 +79,10 @@
             self._send_log.record_cancelled(self._inbound.request_id, send, self._elapsed_s())
             raise
         finally:
+            self._attempts.on_forbidden = None
             server.prefill_tokens -= tokens
+        if self._is_revoked and isinstance(result, ConnectionBroken):
+            result = Revoked()
         self._is_answered = isinstance(result, Answered)
         elapsed_s = self._elapsed_s()
         self._last_proof = proof_of(result)
@@ -100,12 +106,29 @@
             self._current.server.in_flight -= 1
             self._current = None
 
-    def _is_allowed(self, send: SendTo, headers: CIMultiDict[str]) -> bool:
-        """Return whether a send that has a connection is still allowed, and update its deadline."""
+    def _is_allowed(
+        self, send: SendTo, headers: CIMultiDict[str], transport: asyncio.Transport | None
+    ) -> bool:
+        """Return whether a send that has a connection is still allowed, and update its deadline.
+
+        From then on until its response begins, the send is revoked once it is no longer allowed.
+        """
         now = asyncio.get_running_loop().time()
         update_deadline(headers, send.deadline - now)
         waited_s = now - self._sent_at
-        return self._router.still_allows(send, self._inbound.metadata, self._attempts, waited_s, now)
+        if not self._router.still_allows(send, self._inbound.metadata, self._attempts, waited_s, now):
+            return False
+        if transport is not None:
+            self._attempts.on_forbidden = partial(self._revoke, transport)
+        return True
+
+    def _revoke(self, transport: asyncio.Transport) -> None:
+        """Reset the connection of the current send: its server may not have begun the run yet.
+
+        Most servers drop a request whose connection ends (PROTOCOL: servers).
+        """
+        self._is_revoked = True
+        connections.reset(transport)
 
     def _log_attempt(self, send: SendTo) -> None:
         self._attempt_count += 1
--- a/fordtrestle/ingress/send_log.py
+++ b/fordtrestle/ingress/send_log.py
@@ -20,6 +20,7 @@
     DeadlineExceeded,
     NotSent,
     RejectedByServer,
+    Revoked,
     SendResult,
     Withdrawn,
 )
@@ -146,7 +147,7 @@
             return Proof.NOT_RUN
         case ConnectFailed() | NotSent() | Withdrawn():
             return Proof.NOT_SENT
-        case ConnectionBroken() | DeadlineExceeded():
+        case ConnectionBroken() | Revoked() | DeadlineExceeded():
             return Proof.MAY_HAVE_RUN
 
 
--- a/fordtrestle/routing/request_attempts.py
+++ b/fordtrestle/routing/request_attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fordtrestle.routing.common import InstanceId
@@ -35,6 +36,8 @@
             the client must not receive a response that guarantees that the request has not run.
         is_idempotent: Whether every route that has applied to the request allows it to run more than once.
         max_runs: The smallest `max_attempts` of these routes.
+        on_forbidden: Called once when a route forbids the run that is under way; `None` if there is none, or
+            if its response has begun.
     """
 
     tried: set[InstanceId] = field(default_factory=set)
@@ -46,11 +49,15 @@
     may_have_run: bool = False
     is_idempotent: bool = True
     max_runs: float = math.inf
+    on_forbidden: Callable[[], None] | None = None
 
     def restrict(self, route: Route) -> None:
         """Apply the restrictions of a route that applies to the request while it is open."""
         self.is_idempotent = self.is_idempotent and route.is_idempotent
         self.max_runs = min(self.max_runs, route.max_attempts)
+        if self.on_forbidden is not None and not self.can_run():
+            on_forbidden, self.on_forbidden = self.on_forbidden, None
+            on_forbidden()
 
     def record_send(self, instance: InstanceId, rejected: bool) -> None:
         """Count a send, which is also a run unless the server rejected it."""
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -51,6 +51,7 @@
 ENDS = "tests/ingress/test_ends.py"
 ROUTE_CHANGES = "tests/ingress/test_route_changes.py"
 LATE_SENDS = "tests/ingress/test_late_sends.py"
+REVOKED_SENDS = "tests/ingress/test_revoked_sends.py"
 CLIENT_CONNECTION = "listener/client_connection.py"
 INGRESS_SERVER, CLOSING = "ingress/server.py", "tests/ingress/test_closing.py"
 DIRECTORY = "tests/ingress/test_directory.py"
@@ -753,7 +754,7 @@
     "a send that has a connection is checked": _removal(
         "forward/checked_connector.py",
         LATE_SENDS,
-        "        if holder is not None and holder.check is not None and not holder.check(req.headers):\n",
+        "        if check is not None and not check(req.headers, connection.transport):\n",
         "        if False:\n",
     ),
     "a connection does not keep the request that opened it": _removal(
@@ -782,6 +783,18 @@
         "        if waited_s > MAX_WARM_UP_WAIT_S and send.server.is_warming_up(now):\n",
         "        if False:\n",
     ),
+    "a second run that has no response is reset when a route forbids it": _removal(
+        "routing/request_attempts.py", REVOKED_SENDS, "            on_forbidden()\n"
+    ),
+    "the rest of a request that is reset is dropped": _removal(
+        "forward/connections.py",
+        REVOKED_SENDS,
+        "        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)\n",
+        "        pass\n",
+    ),
+    "a run whose response has begun is not reset": _removal(
+        "ingress/request_sender.py", REVOKED_SENDS, "            self._attempts.on_forbidden = None\n"
+    ),
     "a request is not withdrawn for ever": _removal(
         "routing/request_attempts.py", LATE_SENDS, "self.withdrawals >= MAX_WITHDRAWALS", "False"
     ),
--- a/tests/ingress/stage.py
+++ b/tests/ingress/stage.py
@@ -59,6 +59,7 @@
         self.answers = list(answers)
         self.requests: list[str] = []
         self.connections = 0
+        self.ended_connections = 0
 
     async def __aenter__(self) -> FakeServer:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -77,6 +78,7 @@
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
                 await self._answer_all(reader, writer)
         finally:
+            self.ended_connections += 1
             writer.close()  # also if the test fails: its finalizer would run in a closed loop
 
     async def _answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
