A sidecar that exits as it loads its libraries answers waiting clients with 503 first

Cause: a process that has not loaded its libraries MAX_KEPT_S (2.5 s) after SIGTERM exits, and the kernel reset whoever waited at its listener.

It now answers the requests that wait with 503, Retry-After and their ids, with the standard library alone; who has not sent a whole head gets no answer, as before.

Measured: the new case of tests/roles/test_early_sigterm.py fails without the call (a guard), passes with it.

--- a/fordtrestle/cli/sidecar.py
+++ b/fordtrestle/cli/sidecar.py
@@ -6,6 +6,7 @@
 
 from fordtrestle.cli.start import disable_tls, install_early_signal_handlers
 from fordtrestle.ingress.early_listener import listen_early
+from fordtrestle.ingress.early_rejection import reject_all
 from fordtrestle.roles.early_sigterm import EarlySigterm
 
 
@@ -20,6 +21,9 @@
     early_sigterm.install()  # instead of an exit: clients may wait at the listener
     disable_tls()
     early_listener = listen_early("front")
+    if early_listener is not None:
+        listener = early_listener
+        early_sigterm.on_overdue = lambda: reject_all(listener.accept_all())
     from fordtrestle.roles import sidecar
 
     return sidecar.main(early_listener, early_sigterm)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -978,6 +978,12 @@
         "tests/roles/test_early_sigterm.py",
         "            signal.setitimer(signal.ITIMER_REAL, MAX_KEPT_S)\n",
     ),
+    "clients that wait for a sidecar that does not finish loading are answered": _removal(
+        "roles/early_sigterm.py",
+        "tests/roles/test_early_sigterm.py",
+        "            self.on_overdue()\n",
+        "            pass\n",
+    ),
     "clients that waited for a sidecar that ends are answered": _removal(
         "ingress/server.py", "tests/roles/test_early_sigterm.py", ", *self._adopted.waiting}", "}"
     ),
--- a/tests/roles/test_early_sigterm.py
+++ b/tests/roles/test_early_sigterm.py
@@ -108,6 +108,28 @@
         assert process.wait(TIMEOUT_S) == 0
 
 
+def test_clients_that_wait_at_a_sidecar_that_does_not_finish_loading_after_sigterm_are_told_503(front):
+    """Found by the soak at a load of 22: their connections were reset 2.5 s after the signal."""
+    with (
+        loading_sidecar() as process,
+        socket.create_connection(front) as one,
+        socket.create_connection(front) as two,
+        socket.create_connection(front) as silent,
+    ):
+        for client in (one, two):
+            client.sendall(CALL)
+        silent.sendall(CALL[:20])
+        process.send_signal(signal.SIGTERM)
+        for client in (one, two):
+            reply = receive_all(client)
+            assert reply.startswith("HTTP/1.1 503")
+            assert "Retry-After: 0." in reply
+            assert "X-Request-Id: q1\r\n" in reply
+            assert reply.endswith("\r\n\r\n")
+        assert receive_all(silent) == ""
+        assert process.wait(TIMEOUT_S) == 0
+
+
 def test_a_sidecar_that_does_not_finish_loading_after_sigterm_exits_with_code_0(front):
     with loading_sidecar() as process:
         process.send_signal(signal.SIGTERM)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -284,6 +284,7 @@
     "forward/request_payload.py",
     "ingress/directory.py",
     "ingress/early_listener.py",
+    "ingress/early_rejection.py",
     "ingress/inbound_request.py",
     "ingress/outcome_recorder.py",
     "ingress/readiness.py",
