--- a/tests/ingress/test_late_sends.py
+++ b/tests/ingress/test_late_sends.py
@@ -13,7 +13,7 @@
 from fordtrestle.routing.request_attempts import MAX_WITHDRAWALS
 from fordtrestle.routing.router import MAX_WARM_UP_WAIT_S
 from tests.exchanges import Client, loopback, request, until
-from tests.ingress.stage import ConnectionEnd, FakeServer, IngressHarness, ok, route
+from tests.ingress.stage import LIMITS, ConnectionEnd, FakeServer, IngressHarness, ok, route
 
 SERVICES = [{"name": name} for name in ("pool", "slow", "other")]
 SLOW = route("r-slow", "/slow/", backend="slow")
@@ -67,6 +67,15 @@
             self.slow.released.set()
             assert (await client.answer()).startswith("HTTP/1.1 200")
 
+    @asynccontextmanager
+    async def waiting_call(self, client: Client) -> AsyncIterator[None]:
+        """Let a call of the client wait for the connection within the block."""
+        async with self.held_connection():
+            await client.send(make_call())
+            await until(lambda: self.ingress.open_requests == 2)
+            await asyncio.sleep(0.05)
+            yield
+
 
 class SlowNetwork:
     """Holds the connections that are opened to one server until it is released."""
@@ -84,8 +93,24 @@
         monkeypatch.setattr(aiohttp.TCPConnector, "_create_connection", create_connection)
 
 
-def make_call():
-    return request("POST", "/a/x", "hello", X_Request_Id="q1", X_Deadline_Ms="15000")
+def make_call(body="hello"):
+    return request("POST", "/a/x", body, X_Request_Id="q1", X_Deadline_Ms="15000")
+
+
+@asynccontextmanager
+async def second_run(first_answer, second, *routes, body="hello", limits=LIMITS):
+    """Let a request run at a first server, and be sent to a second one; yields the sidecar and the client."""
+    async with (
+        FakeServer(first_answer) as first,
+        second,
+        IngressHarness(*routes, limits=limits) as harness,
+        Client(harness.port) as client,
+    ):
+        harness.add(first, "i-1")
+        harness.add(second, "i-2", zone="z-2")
+        await client.send(make_call(body))
+        yield harness, client
+        assert len(first.requests) == 1
 
 
 @pytest.mark.parametrize(
@@ -100,22 +125,15 @@
 async def test_a_second_run_whose_connection_is_opened_is_not_begun_if_its_route_forbids_it(
     changes, monkeypatch
 ):
-    async with (
-        FakeServer(None) as first,
-        FakeServer(ok()) as second,
-        IngressHarness(SAFE) as harness,
-        Client(harness.port) as client,
-    ):
-        harness.add(first, "i-1")
-        harness.add(second, "i-2", zone="z-2")
-        network = SlowNetwork(monkeypatch, second)
-        await client.send(make_call())
+    second = FakeServer(ok())
+    network = SlowNetwork(monkeypatch, second)
+    async with second_run(None, second, SAFE) as (harness, client):
         await until(lambda: network.waiting)
         for routes in changes:
             harness.configure(*routes)
         network.released.set()
         reply = await client.answer()
-    assert (len(first.requests), len(second.requests)) == (1, 0)
+    assert second.requests == []
     assert reply.startswith("HTTP/1.1 502")
 
 
@@ -123,42 +141,28 @@
 async def test_a_second_run_whose_connection_is_opened_is_not_begun_by_a_view_that_is_not_current(
     monkeypatch,
 ):
-    async with (
-        FakeServer(None) as first,
-        FakeServer(ok()) as second,
-        IngressHarness(SAFE) as harness,
-        Client(harness.port) as client,
-    ):
-        harness.add(first, "i-1")
-        harness.add(second, "i-2", zone="z-2")
-        network = SlowNetwork(monkeypatch, second)
-        await client.send(make_call())
+    second = FakeServer(ok())
+    network = SlowNetwork(monkeypatch, second)
+    async with second_run(None, second, SAFE) as (harness, client):
         await until(lambda: network.waiting)
         harness.router.is_view_current = lambda now: False  # as after a stall
         network.released.set()
         reply = await client.answer()
-    assert (len(first.requests), len(second.requests)) == (1, 0)
+    assert second.requests == []
     assert reply.startswith("HTTP/1.1 502")
 
 
 @loopback
 async def test_a_stream_is_not_continued_on_a_connection_that_opens_after_its_route_forbids_it(monkeypatch):
     stream = route(route_type="streaming", resumable=True, max_attempts=3)
-    async with (
-        FakeServer(BROKEN_STREAM) as first,
-        FakeServer(ok()) as second,
-        IngressHarness(stream) as harness,
-        Client(harness.port) as client,
-    ):
-        harness.add(first, "i-1")
-        harness.add(second, "i-2", zone="z-2")
-        network = SlowNetwork(monkeypatch, second)
-        await client.send(make_call())
+    second = FakeServer(ok())
+    network = SlowNetwork(monkeypatch, second)
+    async with second_run(BROKEN_STREAM, second, stream) as (harness, client):
         await until(lambda: network.waiting)
         harness.configure(route(route_type="streaming", max_attempts=3))
         network.released.set()
         reply = await client.answer()
-    assert (len(first.requests), len(second.requests)) == (1, 0)
+    assert second.requests == []
     assert reply.endswith("(the connection ends)")
 
 
@@ -189,10 +193,7 @@
         Client(harness.port) as client,
     ):
         harness.add(former, "i-1")
-        async with harness.held_connection():
-            await client.send(make_call())
-            await until(lambda: harness.ingress.open_requests == 2)
-            await asyncio.sleep(0.05)
+        async with harness.waiting_call(client):
             harness.add(allowed, "i-2", zone="z-2")
             harness.add(allowed, "i-3", service="other", zone="z-2")
             change(harness, former)
@@ -209,9 +210,7 @@
         Client(harness.port) as client,
     ):
         harness.add(server, "i-1")
-        async with harness.held_connection():
-            await client.send(make_call())
-            await until(lambda: harness.ingress.open_requests == 2)
+        async with harness.waiting_call(client):
             await asyncio.sleep(0.3)
         await client.answer()
     [line] = [line for line in server.requests[0].split("\r\n") if line.startswith("X-Deadline-Ms: ")]
@@ -227,9 +226,7 @@
         Client(harness.port) as client,
     ):
         harness.add(warming, "i-1", warm_up_ms=10_000.0)
-        async with harness.held_connection():
-            await client.send(make_call())
-            await until(lambda: harness.ingress.open_requests == 2)
+        async with harness.waiting_call(client):
             await asyncio.sleep(MAX_WARM_UP_WAIT_S + 0.1)
             harness.add(warm, "i-2", zone="z-2")
         reply = await client.answer()
@@ -245,10 +242,7 @@
         Client(harness.port) as client,
     ):
         harness.add(server, "i-1")
-        async with harness.held_connection():
-            await client.send(make_call())
-            await until(lambda: harness.ingress.open_requests == 2)
-            await asyncio.sleep(0.05)
+        async with harness.waiting_call(client):
             harness.change(UNSAFE, route("r-2", "/b/"))
         reply = await client.answer()
     assert len(server.requests) == 1
--- a/tests/ingress/test_revoked_sends.py
+++ b/tests/ingress/test_revoked_sends.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from tests.exchanges import Client, loopback, request, until
+from tests.exchanges import Client, loopback, until
 from tests.ingress.stage import FakeServer, IngressHarness, IngressLimits, ok, route
-from tests.ingress.test_late_sends import BROKEN_STREAM, HeldServer
+from tests.ingress.test_late_sends import BROKEN_STREAM, HeldServer, make_call, second_run
 from tests.ingress.test_send_log import events  # noqa: F401  (a fixture)
 
 SAFE = route(route_type="safe", max_attempts=2)
@@ -22,15 +22,6 @@
 }
 
 
-def make_call(body="hello"):
-    return request("POST", "/a/x", body, X_Request_Id="q1", X_Deadline_Ms="15000")
-
-
-def add_both(harness, first, second):
-    harness.add(first, "i-1")
-    harness.add(second, "i-2", zone="z-2")
-
-
 @pytest.mark.parametrize("forbidding", FORBIDDING.values(), ids=FORBIDDING)
 @loopback
 async def test_a_second_run_that_its_server_has_not_answered_is_reset_when_its_route_forbids_it(
@@ -38,20 +29,14 @@
     events,  # noqa: F811
 ):
     """Incident TWICE: a frozen server began such a run 3 s after the configuration that forbids it."""
-    async with (
-        FakeServer(None) as first,
-        HeldServer(ok()) as second,
-        IngressHarness(SAFE) as harness,
-        Client(harness.port) as client,
-    ):
-        add_both(harness, first, second)
-        await client.send(make_call())
+    second = HeldServer(ok())
+    async with second_run(None, second, SAFE) as (harness, client):
         await until(lambda: second.requests)
         harness.configure(forbidding)
         reply = await client.answer()
         second.released.set()
         await until(lambda: second.ended_connections)
-    assert (len(first.requests), len(second.requests)) == (1, 1)
+    assert len(second.requests) == 1
     assert reply.startswith("HTTP/1.1 502")
     assert [(event["result"], event["proves"]) for event in events] == [
         ("ConnectionBroken", "it may have run"),
@@ -63,14 +48,8 @@
 async def test_a_continuation_that_its_server_has_not_answered_is_reset_when_its_route_forbids_it(
     events,  # noqa: F811
 ):
-    async with (
-        FakeServer(BROKEN_STREAM) as first,
-        HeldServer(ok()) as second,
-        IngressHarness(STREAM) as harness,
-        Client(harness.port) as client,
-    ):
-        add_both(harness, first, second)
-        await client.send(make_call())
+    second = HeldServer(ok())
+    async with second_run(BROKEN_STREAM, second, STREAM) as (harness, client):
         await until(lambda: second.requests)
         harness.configure(route(route_type="streaming", max_attempts=2))
         reply = await client.answer()
@@ -97,14 +76,8 @@
 async def test_a_server_does_not_get_the_rest_of_a_second_run_that_is_forbidden(
     events,  # noqa: F811
 ):
-    async with (
-        FakeServer(None) as first,
-        UnreadServer() as second,
-        IngressHarness(SAFE, limits=LARGE_LIMITS) as harness,
-        Client(harness.port) as client,
-    ):
-        add_both(harness, first, second)
-        await client.send(make_call(LARGE))
+    second = UnreadServer()
+    async with second_run(None, second, SAFE, body=LARGE, limits=LARGE_LIMITS) as (harness, client):
         await until(lambda: second.has_begun)
         harness.configure(FORBIDDING["unsafe"])
         reply = await client.answer()
@@ -124,14 +97,8 @@
 )
 @loopback
 async def test_a_second_run_that_stays_allowed_is_answered(changed):
-    async with (
-        FakeServer(None) as first,
-        HeldServer(ok()) as second,
-        IngressHarness(SAFE) as harness,
-        Client(harness.port) as client,
-    ):
-        add_both(harness, first, second)
-        await client.send(make_call())
+    second = HeldServer(ok())
+    async with second_run(None, second, SAFE) as (harness, client):
         await until(lambda: second.requests)
         harness.configure(*changed)
         second.released.set()
@@ -172,14 +139,8 @@
 @loopback
 async def test_a_second_run_whose_response_has_begun_is_answered():
     """It has run: a reset would only take the response from the client."""
-    async with (
-        FakeServer(None) as first,
-        HalfServer() as second,
-        IngressHarness(SAFE) as harness,
-        Client(harness.port) as client,
-    ):
-        add_both(harness, first, second)
-        await client.send(make_call())
+    second = HalfServer()
+    async with second_run(None, second, SAFE) as (harness, client):
         await until(lambda: any(attempts.runs == 2 for attempts in harness.router._open_requests))
         harness.configure(FORBIDDING["unsafe"])
         second.is_released = True
