Listener: a connection in the accept queue holds 128 KiB of the kernel, not 480

Cause: the listening socket had SO_RCVBUF of 256 KiB, for the window scale of long bodies. Each connection inherits that (Linux doubles it) until it is accepted.

Change: the listening socket keeps the system's default buffer; the scale comes from tcp_rmem all the same.

--- a/fordtrestle/listener/client_connection.py
+++ b/fordtrestle/listener/client_connection.py
@@ -37,8 +37,8 @@
 MAX_HEAD_BYTES = 128 * 1024  # of a whole head; above what the configuration allows
 RECEIVE_BYTES = 64 * 1024  # taken by one read
 BODY_BUFFER_BYTES = 32 * 1024  # of a body that its handler does not read; reading pauses at twice that
-# That the kernel may hold unread of a connection (SO_RCVBUF). A long body gets the wide one, which carries
-# 2.3 MB/s at a round trip of 110 ms.
+# That the kernel may hold unread of a connection (SO_RCVBUF, TCP_WINDOW_CLAMP). A long body gets the wide
+# one, which carries 2.3 MB/s at a round trip of 110 ms.
 KERNEL_BYTES = 64 * 1024
 WIDE_KERNEL_BYTES = 256 * 1024
 MAX_REQUESTS_AHEAD = 2  # parsed while another request is in a call
@@ -453,6 +453,7 @@
         if sock is not None:
             with contextlib.suppress(OSError):  # an optional limit
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size_bytes)
 
     def _account(self) -> bool:
         """Charge the quota for the bytes that are held now; return whether it has room for them."""
--- a/fordtrestle/listener/client_listener.py
+++ b/fordtrestle/listener/client_listener.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,7 +17,7 @@
 from aiohttp import web
 
 from fordtrestle.listener.acceptor import Acceptor, is_readable
-from fordtrestle.listener.client_connection import WIDE_KERNEL_BYTES, ClientConnection, ConnectionState
+from fordtrestle.listener.client_connection import ClientConnection, ConnectionState
 from fordtrestle.listener.client_quotas import ListenerBudget
 from fordtrestle.listener.errors import ConnectionRefusedBySelfError
 from fordtrestle.resources.connection_table import ConnectionTable, TableOptions
@@ -109,9 +108,11 @@
         self.listen_on(sock)
 
     def listen_on(self, sock: socket.socket) -> None:
-        """Accept connections of a bound socket."""
-        with contextlib.suppress(OSError):  # optional; determines the window scale
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WIDE_KERNEL_BYTES)
+        """Accept connections of a bound socket.
+
+        A connection that waits to be accepted holds what the system's default buffer does, about 128 KiB:
+        a buffer that is set here would hold for it as well, and would bound its window for good.
+        """
         sock.listen(BACKLOG)
         self._acceptor = Acceptor(self._loop, sock, self, ACCEPTS_PER_TURN)
 
--- a/tests/listener/test_client_listener.py
+++ b/tests/listener/test_client_listener.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import contextlib
+import socket
+import time
 
 import pytest
 from aiohttp import web
 
 from fordtrestle.listener import client_listener
-from fordtrestle.listener.client_connection import MAX_HEAD_BYTES, UNCHARGED_BYTES
+from fordtrestle.listener.client_connection import KERNEL_BYTES, MAX_HEAD_BYTES, UNCHARGED_BYTES
 from fordtrestle.listener.client_listener import ClientListener, ListenerOptions
 from fordtrestle.listener.client_quotas import ClientQuotas
 from fordtrestle.listener.errors import RequestRefusedError
 from fordtrestle.listener.request_body import read_body_parts
+from rig.system.process_usage import unread_bytes
 from tests.exchanges import Client, loopback, request, until
 
 HEAD_TIMEOUT_S = 0.2
@@ -304,3 +307,29 @@
         assert results[:5] == [900_000] * 5
         assert results[5:] == [["HTTP/1.1 200"] * 5] * len(sizes)
         await stage.until_released()
+
+
+def send_until_full(client: socket.socket, seconds: float) -> None:
+    """Send until the kernel takes no more, and on as the receiver grants more."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            client.send(b"b" * KERNEL_BYTES)
+        except BlockingIOError:
+            time.sleep(0.01)
+
+
+@loopback
+async def test_a_connection_that_waits_to_be_accepted_holds_little_in_the_kernel():
+    """Nothing counts its bytes, and a crowd of them may wait; the loop does not run while it sends."""
+    host, waiting = "127.0.0.86", 3
+    async with Stage() as stage:
+        listener = ClientListener(stage.server, stage.quotas.budget("spare"))
+        listener.listen(host, 0)
+        with contextlib.ExitStack() as sockets:
+            for _ in range(waiting):
+                client = sockets.enter_context(socket.create_connection((host, listener.port)))
+                client.setblocking(False)
+                send_until_full(client, 0.2)
+            assert KERNEL_BYTES < unread_bytes(host) <= waiting * 3 * KERNEL_BYTES
+        listener.close()
