rig: links and their faults' player out of the relay's module

rig/cluster/links.py (956 lines) held three jobs: the types of links and addresses are now in rig/cluster/link_types.py, what begins and ends faults in rig/cluster/fault_player.py; the relay itself (825 lines) is unchanged. No text of a test changes but its imports.

--- a/benchmarks/cluster_relay.py
+++ b/benchmarks/cluster_relay.py
@@ -35,7 +35,8 @@
     table,
     write_json,
 )
-from rig.cluster.links import DROPS, MEMINFO, SO_MEMINFO, Address, UdpLink
+from rig.cluster.link_types import Address, UdpLink
+from rig.cluster.links import DROPS, MEMINFO, SO_MEMINFO
 from rig.cluster.relays import MAX_LATE_MS, SHARDS, Relays
 from rig.cluster.schedules import names
 from rig.helper import Helper, obey_until_hung_up, prepare, say
--- a/rig/cluster/cluster.py
+++ b/rig/cluster/cluster.py
@@ -21,8 +21,9 @@
 from rig import ledger
 from rig.callers import Caller, Callers, Seen
 from rig.cluster import history, site
+from rig.cluster.fault_player import Player
 from rig.cluster.judging import Change, Played, Used, notifications, without_addresses
-from rig.cluster.links import Address, Player
+from rig.cluster.link_types import Address
 from rig.cluster.nodes import Life, Node, Processes, start_all
 from rig.cluster.outages import Downtime
 from rig.cluster.relays import Relays
--- a/rig/cluster/disks.py
+++ b/rig/cluster/disks.py
@@ -46,7 +46,7 @@
 from pathlib import Path
 
 from fordtrestle.proxy.state.file_store import MAX_NAME_CHARS
-from rig.cluster.links import flipped
+from rig.cluster.link_types import flipped
 from rig.cluster.schedules import WRITES, Writes
 
 MAX_HELD_BYTES = 64 * 2**20  # in memory: not synced, or of files without a name on the platter
--- a/rig/cluster/judging.py
+++ b/rig/cluster/judging.py
@@ -27,7 +27,7 @@
 
 if TYPE_CHECKING:
     from rig.cluster.checkers import Span
-    from rig.cluster.links import Counts
+    from rig.cluster.link_types import Counts
 
 DELAYS = ("cut", "stall", "loss", "late", "narrow")  # faults that delay bytes on TCP
 HELD_ARRIVAL_S = 0.1  # from the end of a link's fault until held bytes have arrived
--- a/rig/cluster/links.py
+++ b/rig/cluster/links.py
@@ -31,12 +31,10 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass
-from typing import Any, Protocol, cast
-
-from msgspec import Struct
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, cast
 
+from rig.cluster.link_types import Address, Counts, TcpLink, UdpLink, flipped, wrong_address
 from rig.cluster.schedules import Link, Way
 from rig.lag import LagWatch
 
@@ -63,68 +61,9 @@
 NO_LINGER = struct.pack("ii", 1, 0)
 SO_MEMINFO, MEMINFO, DROPS = 55, struct.Struct("9I"), 8  # Linux: where to read the drops of a full buffer
 
-Address = tuple[str, int]
 DELAYS: frozenset[Way] = frozenset({"late", "reorder", "narrow", "loss"})
 
 
-class TcpLink(Struct, frozen=True, tag=True):
-    """Address at which `src` reaches `dst`, which listens at `target`. Port 0: any free port."""
-
-    src: str
-    dst: str
-    target: Address
-    host: str = "127.0.0.1"
-    port: int = 0
-
-    @property
-    def ends(self) -> tuple[str, str]:
-        """The names of both ends."""
-        return self.src, self.dst
-
-
-class UdpLink(Struct, frozen=True, tag=True):
-    """Both directions of a pair: datagrams from `one_at` are sent to `other_at`, and back."""
-
-    one: str
-    other: str
-    one_at: Address
-    other_at: Address
-
-    @property
-    def ends(self) -> tuple[str, str]:
-        """The names of both ends."""
-        return self.one, self.other
-
-
-def wrong_address(address: Address) -> str:
-    """Return what is wrong with an end's address; empty if nothing is. Host names are refused: no lookups."""
-    host, port = address
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except OSError:
-        return f"{host!r} is not an IPv4 address"
-    return "" if 0 < port < 65536 else f"{port} is not a port from 1 to 65535"
-
-
-@dataclass(slots=True)
-class Counts:
-    """What one direction of one link carried, of both protocols."""
-
-    taken: int = 0  # bytes received from the sender
-    passed: int = 0  # bytes sent to the receiver
-    lost: int = 0  # bytes that will never be sent
-    doubled: int = 0  # bytes added by a fault
-    received: int = 0  # datagrams received from the sender
-    messages: int = 0  # datagrams sent to the receiver
-    dropped: int = 0  # datagrams not sent
-    resets: int = 0
-
-    @property
-    def held(self) -> int:
-        """Bytes that wait now."""
-        return self.taken + self.doubled - self.passed - self.lost
-
-
 class State:
     """Current state of one direction of one link."""
 
@@ -884,73 +823,3 @@
     def _forget(self) -> None:
         if self._is_over or all(end.is_gone or end.transport is None for end in (self.near, self.far)):
             self.relay.pairs.discard(self)
-
-
-def flipped(data: bytes, rng: random.Random) -> bytes:
-    """Return the data with one bit changed; empty data stays empty."""
-    if not data:
-        return data
-    changed = bytearray(data)
-    changed[rng.randrange(len(changed))] ^= 1 << rng.randrange(8)
-    return bytes(changed)
-
-
-def address_of(number: int) -> str:
-    """Return the loopback address of a node; the first thousand nodes have one each."""
-    if not 0 <= number < 1000:
-        raise ValueError(f"node number {number} is not from 0 to 999")
-    return f"127.77.{number // 250}.{number % 250 + 1}"
-
-
-def free_port(host: str) -> int:
-    """Return a port of the address that is not in use now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
-
-
-class Changes(Protocol):
-    """Anything whose faults begin and end: a `Relay` or `Relays`."""
-
-    def prepare(self, faults: Sequence[Link], /) -> Awaitable[None] | None:
-        """Announce faults to come."""
-
-    def change(self, rows: Sequence[tuple[bool, Link]], /) -> Awaitable[None] | None:
-        """Begin (True) and end faults in the given order."""
-
-
-async def _done(asked: Awaitable[None] | None) -> None:
-    if asked is not None:
-        await asked
-
-
-class Player:
-    """Begins and ends the faults of links at their times, by the loop's clock."""
-
-    def __init__(self, relay: Changes, faults: Iterable[Link]) -> None:
-        self._relay = relay
-        self._faults = list(faults)
-        self._due = deque(
-            sorted(
-                [(fault.at_ms, True, fault) for fault in self._faults]
-                + [(fault.at_ms + fault.lasts_ms, False, fault) for fault in self._faults],
-                key=lambda row: (row[0], row[1]),
-            )
-        )
-        self.late_ms = 0.0  # largest delay of a change
-
-    async def run(self) -> None:
-        """Play all faults. Times count from now, and changes that are due together are applied together."""
-        loop = asyncio.get_running_loop()
-        await _done(self._relay.prepare(self._faults))
-        began = loop.time()
-        while self._due:
-            at_ms = self._due[0][0]
-            await asyncio.sleep(max(0.0, began + at_ms / 1000.0 - loop.time()))
-            now_ms = (loop.time() - began) * 1000.0
-            rows = []
-            while self._due and self._due[0][0] <= max(at_ms, now_ms):
-                _, begins, fault = self._due.popleft()
-                rows.append((begins, fault))
-            await _done(self._relay.change(rows))
-            self.late_ms = max(self.late_ms, (loop.time() - began) * 1000.0 - at_ms)
--- a/rig/cluster/nodes.py
+++ b/rig/cluster/nodes.py
@@ -30,7 +30,7 @@
 from fordtrestle.proxy.config.errors import OperatorFileError
 from rig.balancers import answers_ready
 from rig.cluster.clocks import MAX_DRIFT_PPM, MAX_JUMP_MS
-from rig.cluster.links import Address, address_of, free_port
+from rig.cluster.link_types import Address, address_of, free_port
 from rig.cluster.outages import DiskFaultSpan, Downtime
 from rig.cluster.schedules import Clock, Disk, DiskFault, Kill, Reload, Step, Stop, Writes
 from rig.helper import ROOT
--- a/rig/cluster/relayhost.py
+++ b/rig/cluster/relayhost.py
@@ -17,7 +17,8 @@
 
 import msgspec
 
-from rig.cluster.links import Address, Counts, Relay, TcpLink, UdpLink
+from rig.cluster.link_types import Address, Counts, TcpLink, UdpLink
+from rig.cluster.links import Relay
 from rig.cluster.schedules import Link
 from rig.helper import obey_until_hung_up, prepare, say
 
--- a/rig/cluster/relays.py
+++ b/rig/cluster/relays.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from rig.cluster.links import Address, Counts, TcpLink, UdpLink
+from rig.cluster.link_types import Address, Counts, TcpLink, UdpLink
 from rig.cluster.schedules import Link
 from rig.helper import Helper
 from rig.process import ProgramError
--- a/rig/cluster/site.py
+++ b/rig/cluster/site.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from rig.callers import CallClass, Demand
-from rig.cluster.links import Address
+from rig.cluster.link_types import Address
 from rig.model import Make
 from rig.registry import Entry, entry
 
--- a/tests/rig/cluster/test_links.py
+++ b/tests/rig/cluster/test_links.py
@@ -11,7 +11,9 @@
 import pytest
 
 from rig.cluster import links
-from rig.cluster.links import MAX_HELD_BYTES, Player, Relay, TcpLink, UdpLink, address_of, flipped, free_port
+from rig.cluster.fault_player import Player
+from rig.cluster.link_types import TcpLink, UdpLink, address_of, flipped, free_port
+from rig.cluster.links import MAX_HELD_BYTES, Relay
 from rig.cluster.schedules import WAYS, Link, bridge, names, ring, split
 from tests.loopback import PATIENCE_S, loopback, until
 
--- a/tests/rig/cluster/test_relays.py
+++ b/tests/rig/cluster/test_relays.py
@@ -19,7 +19,8 @@
 from benchmarks.cluster_relay import BIN_MS, Setting, check_rates, percentile_ms
 from rig import helper
 from rig.cluster import relays
-from rig.cluster.links import Player, TcpLink, UdpLink, free_port
+from rig.cluster.fault_player import Player
+from rig.cluster.link_types import TcpLink, UdpLink, free_port
 from rig.cluster.relays import Relays, shard_of
 from rig.cluster.schedules import Link, names
 from rig.helper import ROOT
