--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,183 +1,186 @@
-"""The sidecars of a region are stopped in turn, as planned; a stream that one accepts meanwhile is cut."""
+"""A store counts a lease from a renewal that was never committed, and as primary ends it too early."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import itertools
+import json
 import signal
 from dataclasses import dataclass
 from pathlib import Path
 
-from stage2 import (
-    BOUNDS,
-    BROKEN,
-    HELD,
-    ZONES,
-    Call,
-    CannotRunError,
-    Machine,
-    Record,
-    Reply,
-    Server,
-    Site,
-    ask,
-    configuration,
-    route_row,
-    run_case,
-    trouble,
-)
-
-ZONE = "ger-webberton"
-TOKENS_OUT = 100
-TOKENS_PER_EVENT = 4
-EVENT_INTERVAL_S = 0.2  # half of the route's `gap_aim_ms`
-FIRST_EVENT_S = 0.1
-DEADLINE_MS = 15_000
-CLIENTS = 10  # in the zone, as in the site file
-LONG_KEEPERS = 3  # of them: they keep an answer of the directory three times as long (PROTOCOL: ingress)
-INTERVAL_S = 0.06  # between two requests of the region's clients, on average
-GAP_S = 1.3  # between the two SIGTERM, as in the site's `roll_term`
-RESTART_S = 0.3  # after which the platform starts an ended process again
-WARM_UP_S, AFTER_S, END_S = 4.0, 8.0, 10.0
-GRACE_S = float(BOUNDS["grace_s"])
+from stage2 import BROKEN, HELD, CannotRunError, Machine, Record, Reply, Site, ask, run_case, trouble
+
+ZONES = {
+    "perth-kewdale": "perth",
+    "perth-welshpool": "perth",
+    "ger-webberton": "geraldton",
+    "ger-narngulu": "geraldton",
+    "alb-mira-mar": "albany",
+}
+LOCK, HOLD_S = "/v1/locks/l1", 45.0
+CATCH_UP_S = 6.0  # `catch_up_s` of karri-ops-locks: a machine counts as lost for that long after it is back
+PRIMARY_DIES_AFTER_S = 0.12  # after the kill of its two backups
+BACKUPS_BACK_S, PRIMARY_BACK_S = 0.3, 3.5  # after the kill
 
 
 @dataclass(slots=True)
-class Try:
-    """One request of a client, and what became of it."""
-
-    id: str
-    front: Machine
-    sent_at: float
-    ended_at: float = 0.0
-    reply: Reply | None = None
-
-
-async def serve_stream(server: Server, call: Call) -> None:
-    """Send a stream whose events all come within half of the pause that still counts as in time."""
-    head = f"HTTP/1.1 200 OK\r\n{server.stamped(call)}Content-Type: text/event-stream\r\n"
-    call.writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
-    await asyncio.sleep(FIRST_EVENT_S)
-    for number in range(TOKENS_OUT // TOKENS_PER_EVENT):
-        event = f"id: {number}\ndata: {'token ' * TOKENS_PER_EVENT}\n\n".encode()
-        call.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await call.writer.drain()
-        await asyncio.sleep(EVENT_INTERVAL_S)
-    call.writer.write(b"0\r\n\r\n")
-
-
-class Client:
-    """A client of the zone, who keeps an answer of the directory for its time, or three times that."""
-
-    def __init__(self, site: Site, times: float) -> None:
-        self._site, self._times = site, times
-        self._fronts = {machine.address("front"): machine for machine in site.fronts}
-        self._addresses: list[str] = []
-        self._valid_until = 0.0
-        self.tries: list[Try] = []
-
-    async def send(self, number: int) -> None:
-        """Send one request, as a single try on a new connection."""
-        await self._resolve()
-        if not self._addresses:
-            return
-        front = self._fronts[random.choice(self._addresses)]
-        record = self._site.record
-        request = Try(f"{random.getrandbits(64):016x}", front, record.now())
-        self.tries.append(request)
-        record.line(f"client sends {request.id} to {front.name}")
-        headers = {
-            "Host": "site.example",
-            "X-Request-Id": request.id,
-            "X-Model": "m",
-            "X-Token-Count": f"640,{TOKENS_OUT}",
-            "X-Prompt-Prefix": f"a1:103,b{number % 8:x}:68,{request.id[:8]}:469",
-            "X-Deadline-Ms": str(DEADLINE_MS),
-        }
-        reply = await ask(front.address("front"), "POST", "/note/1", headers, b"x" * 900, DEADLINE_MS / 1000)
-        request.reply, request.ended_at = reply, record.now()
-        end = "complete" if reply.complete else "cut"
-        record.line(f"client has {request.id}: {reply.status} {end}, {reply.body.count(b'id:')} events")
-
-    async def _resolve(self) -> None:
-        if self._site.record.now() < self._valid_until:
-            return
-        core = sorted(self._site.core, key=lambda machine: machine.zone != ZONE)
-        target = f"/v1/resolve?name=site.example&region={ZONES[ZONE]}&zone={ZONE}"
-        for machine in core:
-            answer = (await ask(machine.address("directory"), "GET", target)).json()
-            if answer.get("addresses"):
-                self._addresses = answer["addresses"]
-                kept_s = self._times * min(float(answer["ttl_s"]), float(BOUNDS["ttl_max_s"]))
-                self._valid_until = self._site.record.now() + kept_s
+class Holder:
+    """What a caller knows of its hold."""
+
+    fence: int = 0
+    good_sent_at: float = 0.0  # when it sent its last good call
+
+    @property
+    def until(self) -> float:
+        """Until when the caller counts itself holder."""
+        return self.good_sent_at + HOLD_S
+
+
+class Stage:
+    """The site and its callers."""
+
+    def __init__(self, site: Site) -> None:
+        self.site, self.record = site, site.record
+        self.a = Holder()
+        self._cycle = itertools.cycle(site.core)
+
+    async def call(self, caller: str, step: str, machine: Machine | None = None) -> tuple[float, Reply]:
+        """Send one call on the lock, and return when it was sent and its answer."""
+        machine = machine or next(self._cycle)
+        body = {"holder": caller, "hold_ms": int(HOLD_S * 1000)}
+        if step == "heartbeat":
+            body["fence"] = self.a.fence
+        sent_at = self.record.now()
+        reply = await ask(
+            machine.address("control"),
+            "POST",
+            f"{LOCK}/{step}",
+            {"Content-Type": "application/json"},
+            json.dumps(body).encode(),
+        )
+        answer = f"{reply.status} {reply.body.decode()}" if reply.complete else "no answer"
+        if reply.status not in (0, 409, 503):
+            self.record.line(f"{caller}: {step} at {machine.name}, sent at {sent_at:.3f} s: {answer}")
+        return sent_at, reply
+
+    async def until_good(self, step: str, patience_s: float) -> None:
+        """Have caller `a` send a call, to one address after another, until it is answered with 200."""
+        give_up_at = self.record.now() + patience_s
+        while self.record.now() < give_up_at:
+            sent_at, reply = await self.call("a", step)
+            if reply.status == 200 and reply.complete:
+                self.a.good_sent_at = sent_at
+                self.a.fence = reply.json().get("fence", self.a.fence)
                 return
-
-
-def judge(record: Record, tries: list[Try], stopped: dict[str, float]) -> int:
-    """Check LOST: planned is a SIGTERM of the machine that took the request, until 1 s after its grace."""
-    lost = []
-    for request in tries:
-        reply, term_at = request.reply, stopped.get(request.front.name)
-        if reply is None or reply.complete or term_at is None:
-            continue
-        is_planned = request.ended_at >= term_at and request.ended_at <= term_at + GRACE_S + 1.0
-        is_excused = request.sent_at <= term_at + 3.0 and request.ended_at >= term_at + GRACE_S * 5 / 6
-        is_passed_on = reply.status == 200  # its server had begun to answer
-        if is_planned and is_passed_on and not is_excused:
-            lost.append(request)
-            sent, ended = request.sent_at - term_at, request.ended_at - term_at
-            record.line(f"LOST {request.id}: sent {sent:.2f} s after the SIGTERM, cut {ended:.2f} s after it")
-    record.line(f"{len(tries)} requests, {len(lost)} lost")
-    return BROKEN if lost else HELD
-
-
-async def roll(site: Site, stopped: dict[str, float]) -> None:
-    """Stop the region's machines in turn, as the platform does; each is started again once it has ended."""
-
-    async def restart(machine: Machine) -> None:
-        await machine.end(signal.SIGTERM, GRACE_S)
-        await asyncio.sleep(RESTART_S)
-        await machine.start()
-
-    async with asyncio.TaskGroup() as tasks:
-        for machine in site.fronts_of(ZONE):
-            stopped[machine.name] = site.record.now()
-            tasks.create_task(restart(machine))
-            await asyncio.sleep(GAP_S)
+            await asyncio.sleep(0.02)
+        raise CannotRunError(f"no good answer to {step}")
+
+    async def roles(self) -> dict[str, list[Machine]]:
+        """Return the machines by their roles, as the newest epoch that any of them tells has them."""
+        newest: list[dict[str, object]] = []
+        for machine in self.site.core:
+            rows = (await ask(machine.address("control"), "GET", "/v1/epoch")).json().get("rows", [])
+            if rows and (not newest or int(rows[0]["epoch"]) > int(str(newest[0]["epoch"]))):
+                newest = rows
+        by_address = {machine.address("control"): machine for machine in self.site.core}
+        roles: dict[str, list[Machine]] = {"primary": [], "backup": [], "witness": []}
+        for row in newest:
+            roles[str(row["role"])].append(by_address[str(row["control"])])
+        names = {role: [machine.name for machine in machines] for role, machines in roles.items()}
+        self.record.line(f"epoch {newest[0]['epoch'] if newest else '?'}: {names}")
+        return roles
+
+
+async def kill(machines: list[Machine]) -> None:
+    """Kill machines' processes at once."""
+    await asyncio.gather(*(machine.end(signal.SIGKILL) for machine in machines))
+
+
+async def start(machines: list[Machine]) -> None:
+    """Start machines' processes."""
+    await asyncio.gather(*(machine.start() for machine in machines))
+
+
+async def renew_over_a_loss(stage: Stage) -> Machine | None:
+    """Lose the backups, and then the primary, around a renewal; return the store that has seen it twice."""
+    roles = await stage.roles()
+    (primary,), backups, witnesses = roles["primary"], roles["backup"], roles["witness"]
+    if not trouble():
+        await stage.until_good("heartbeat", 5.0)
+        return None
+    await kill(backups)
+    renewal = asyncio.create_task(stage.call("a", "heartbeat", primary))
+    await asyncio.sleep(PRIMARY_DIES_AFTER_S)
+    await kill([primary])
+    killed_at = stage.record.now()
+    _, reply = await renewal
+    if reply.status == 200:
+        raise CannotRunError("the renewal was committed before the primary was killed")
+    again = asyncio.create_task(stage.until_good("heartbeat", 15.0))
+    await asyncio.sleep(BACKUPS_BACK_S - PRIMARY_DIES_AFTER_S)
+    await start(backups)
+    await again
+    roles = await stage.roles()
+    late = [machine for machine in witnesses if machine in roles["witness"]]
+    await asyncio.sleep(max(0.0, killed_at + PRIMARY_BACK_S - stage.record.now()))
+    await start([primary])
+    if len(late) != 1:
+        raise CannotRunError("both witnesses, or none, are replicas of the next epoch")
+    return late[0]
+
+
+async def make_primary(stage: Stage, wanted: Machine) -> None:
+    """Lose two machines at a time, so that a store becomes a replica and then the primary."""
+    await asyncio.sleep(CATCH_UP_S)
+    roles = await stage.roles()
+    lost = [machine for machine in (*roles["backup"], *roles["witness"]) if machine is not wanted][:2]
+    await kill(lost)
+    await asyncio.sleep(2.0)
+    await start(lost)
+    await asyncio.sleep(CATCH_UP_S)
+    roles = await stage.roles()
+    if wanted in roles["witness"]:
+        raise CannotRunError(f"{wanted.name} is no replica")
+    if wanted in roles["primary"]:
+        return
+    lost = [machine for machine in (*roles["primary"], *roles["backup"]) if machine is not wanted]
+    await kill(lost)
+    await asyncio.sleep(3.0)
+    await start(lost)
+    await asyncio.sleep(2.0)
+    roles = await stage.roles()
+    if wanted not in roles["primary"]:
+        raise CannotRunError(f"{wanted.name} is not primary")
 
 
 async def play(folder: Path, record: Record) -> int:
     """Play the case."""
-    site = Site(folder, record)
-    servers = [Server(site, "pool", zone, f"{zone}-{n}", serve_stream) for zone in ZONES for n in (1, 2)]
+    site = Site(folder, record, fronts=0, zones=ZONES, tolerance=2)
+    stage = Stage(site)
     try:
-        for server in servers:
-            await server.start()
-        route = route_row("note", "/note/", "pool", "streaming", timeout_ms=DEADLINE_MS, gap_aim_ms=400)
-        await site.start(configuration(1, [{**route, "resumable": False}], ["pool"]))
-        await asyncio.sleep(5.0)  # calm, and all directories have settled
-        clients = [Client(site, 3.0 if number < LONG_KEEPERS else 1.0) for number in range(CLIENTS)]
-        stopped: dict[str, float] = {}
-        tasks: list[asyncio.Task[None]] = []
-        began = record.now()
-        for number in range(int((WARM_UP_S + AFTER_S) / INTERVAL_S)):
-            if not stopped and record.now() >= began + WARM_UP_S and trouble():
-                tasks.append(asyncio.create_task(roll(site, stopped)))
-                await asyncio.sleep(0)
-            tasks.append(asyncio.create_task(random.choice(clients).send(number)))
-            await asyncio.sleep(random.uniform(0.5, 1.5) * INTERVAL_S)
-        await asyncio.wait(tasks, timeout=END_S)
-        for task in tasks:
-            task.cancel()
-        tries = [request for client in clients for request in client.tries]
-        if not any(request.reply and request.reply.complete for request in tries):
-            raise CannotRunError("no request was served")
-        return judge(record, tries, stopped)
+        await start(site.core)
+        await stage.until_good("start", 20.0)
+        await asyncio.sleep(CATCH_UP_S)
+        late = await renew_over_a_loss(stage)
+        record.line(f"a counts itself holder until {stage.a.until:.3f} s")
+        if late is not None:
+            record.line(f"{late.name} was no replica of the epoch of the lost renewal, nor of the next one")
+            await make_primary(stage, late)
+        await asyncio.sleep(max(0.0, stage.a.until - 6.0 - record.now()))
+        while True:
+            _, reply = await stage.call("b", "start")
+            if reply.status == 200 and reply.complete:
+                break
+            if record.now() > stage.a.until + 30.0:
+                raise CannotRunError("b is never granted the lock")
+            await asyncio.sleep(0.05)
+        early_s = stage.a.until - record.now()
+        record.line(f"b has the lock; a counts itself holder for {early_s:.3f} s more")
+        return BROKEN if early_s > 0 else HELD
     finally:
         await site.end()
-        for server in servers:
-            await server.stop()
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, play, 110.0)
+    run_case(Path(__file__).resolve().parent, play, 115.0)
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -176,7 +176,7 @@
     @property
     def region(self) -> str:
         """The region of the machine."""
-        return ZONES[self.zone]
+        return self.site.zones[self.zone]
 
     def address(self, endpoint: str) -> str:
         """Return HOST:PORT of an endpoint."""
@@ -194,7 +194,7 @@
             "ip": self.ip,
             "zone": self.zone,
             "region": self.region,
-            "zones": ZONES,
+            "zones": self.site.zones,
             "listen": {endpoint: self.address(endpoint) for endpoint in endpoints},
             "internal_port_range": self.site.internal_ports,
             "seeds": self.site.seeds(),
@@ -223,7 +223,7 @@
                 "stream",
                 "places",
             ],
-            "fault_tolerance": {"machines": 1, "zones": 1, "regions": 1},
+            "fault_tolerance": {"machines": self.site.tolerance, "zones": 1, "regions": 1},
             "bounds": BOUNDS,
         }
 
@@ -271,10 +271,16 @@
 
 
 class Site:
-    """Three regions with a core machine and some front machines each."""
+    """A core machine and some front machines in each zone; by default three zones in three regions.
 
-    def __init__(self, folder: Path, record: Record, fronts: int = 2) -> None:
+    Of 2 * `tolerance` + 1 core machines, `tolerance` may be lost at once.
+    """
+
+    def __init__(
+        self, folder: Path, record: Record, fronts: int = 2, zones: dict[str, str] = ZONES, tolerance: int = 1
+    ) -> None:
         self.folder, self.record = folder, record
+        self.zones, self.tolerance = zones, tolerance
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.commands = {role: entry["run"].split() for role, entry in deploy["roles"].items()}
         self._net = f"127.{random.randrange(64, 250)}.{random.randrange(1, 250)}"
@@ -285,7 +291,7 @@
         self.server_port = self._free(1)[0]
         self.core: list[Machine] = []
         self.fronts: list[Machine] = []
-        for zone in ZONES:
+        for zone in zones:
             self.core.append(Machine(self, "control", f"core-{zone}-1", self.next_ip(), zone))
             for number in range(1, fronts + 1):
                 self.fronts.append(Machine(self, "sidecar", f"front-{zone}-{number}", self.next_ip(), zone))
@@ -304,8 +310,8 @@
         return found
 
     def seeds(self) -> list[str]:
-        """Return the control addresses."""
-        return [machine.address("control") for machine in self.core]
+        """Return the control addresses of three machines."""
+        return [machine.address("control") for machine in self.core[:3]]
 
     @property
     def machines(self) -> list[Machine]:
@@ -338,7 +344,7 @@
     ) -> Reply:
         """Send a call as the operator does, until there is a clear answer."""
         give_up_at = self.record.now() + patience_s
-        addresses = itertools.cycle(self.seeds())
+        addresses = itertools.cycle(machine.address("control") for machine in self.core)
         address = next(addresses)
         while self.record.now() < give_up_at:
             reply = await ask(address, method, target, headers, body)
