--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,7 @@
 }
 LOCK, HOLD_S = "/v1/locks/l1", 45.0
 CATCH_UP_S = 6.0  # `catch_up_s` of karri-ops-locks: a machine counts as lost for that long after it is back
-PRIMARY_DIES_AFTER_S = 0.12  # after the kill of its two backups
+PRIMARY_DIES_AFTER_S = 0.2  # after the kill of its two backups
 BACKUPS_BACK_S, PRIMARY_BACK_S = 0.3, 3.5  # after the kill
 
 
