--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,8 +18,9 @@
     "ger-narngulu": "geraldton",
     "alb-mira-mar": "albany",
 }
+LOCKS_BOUNDS = {"contact_ms": 5000, "ack_ms": 6000, "catch_up_s": 6, "max_skew_ms": 8000, "free_ms": 1500}
 LOCK, HOLD_S = "/v1/locks/l1", 45.0
-CATCH_UP_S = 6.0  # `catch_up_s` of karri-ops-locks: a machine counts as lost for that long after it is back
+CATCH_UP_S = 7.0  # more than the 6 s of `catch_up_s`, for which a machine counts as lost after it is back
 PRIMARY_DIES_AFTER_S = 0.2  # after the kill of its two backups
 BACKUPS_BACK_S, PRIMARY_BACK_S = 0.3, 3.5  # after the kill
 
@@ -157,6 +158,8 @@
 async def play(folder: Path, record: Record) -> int:
     """Play the case."""
     site = Site(folder, record, fronts=0, zones=ZONES, tolerance=2)
+    site.bounds |= LOCKS_BOUNDS
+    site.contracts += ["health", "pool", "coord"]
     stage = Stage(site)
     try:
         await start(site.core)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -26,7 +26,9 @@
 
 HALF = 6  # the event inside which the server is killed
 ROUNDS = 3  # of each kind of stream
-SPARES = 2  # servers that are not killed, by which a stream may be resumed
+SPARES = 5  # servers that are not killed, in the other regions; with them one of six is down
+DOWN_S = 4.5  # until the next server of the region starts: `for_s` of the site's `srv_crash`
+AT_ONCE = 11  # requests
 DEADLINE_S = 5.0
 WHOLE = b"".join(event_of(number) for number in range(EVENTS))
 
@@ -111,19 +113,20 @@
     server = ServerProcess(site, zone, f"{zone}-crash-{path[1]}{number}", HALF)
     await server.start()
     try:
-        for _ in range(40):  # until the front knows the server and chooses it
-            task = asyncio.create_task(send(site, path))
-            half = asyncio.create_task(server.until_half())
-            await asyncio.wait((task, half), return_when=asyncio.FIRST_COMPLETED)
+        half = asyncio.create_task(server.until_half())
+        for _ in range(8):  # the front has to know the server first, and its 34th answer is the one
+            tasks = [asyncio.create_task(send(site, path)) for _ in range(AT_ONCE)]
+            await asyncio.wait((half, asyncio.gather(*tasks)), return_when=asyncio.FIRST_COMPLETED)
             if half.done():
                 half.result()
                 if trouble():
                     site.record.line(f"{server.instance} gets SIGKILL inside event {HALF}")
                     await server.stop()
-                return judge(site.record, await task)
-            half.cancel()
-            if not judge(site.record, await task):
-                return False
+            replies = await asyncio.gather(*tasks)
+            held = [judge(site.record, reply) for reply in replies]
+            if half.done() or not all(held):
+                await asyncio.sleep(DOWN_S)
+                return all(held)
         raise CannotRunError("the server got no request")
     finally:
         await server.stop()
@@ -132,7 +135,7 @@
 async def play(folder: Path, record: Record) -> int:
     """Play the case."""
     site = Site(folder, record, fronts=1)
-    spares = [ServerProcess(site, list(ZONES)[1 + n], f"spare-{n}", -1) for n in range(SPARES)]
+    spares = [ServerProcess(site, list(ZONES)[1 + n % 2], f"spare-{n}", -1) for n in range(SPARES)]
     try:
         for server in spares:
             await server.start()
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -40,6 +40,7 @@
 RESTART_S = 0.3  # after which the platform starts an ended process again
 WARM_UP_S, AFTER_S, END_S = 4.0, 8.0, 10.0
 GRACE_S = float(BOUNDS["grace_s"])
+FINISHED: set[str] = set()  # the requests whose server has written its whole answer
 
 
 @dataclass(slots=True)
@@ -64,6 +65,8 @@
         await call.writer.drain()
         await asyncio.sleep(EVENT_INTERVAL_S)
     call.writer.write(b"0\r\n\r\n")
+    await call.writer.drain()
+    FINISHED.add(call.id)
 
 
 class Client:
@@ -96,6 +99,8 @@
         }
         reply = await ask(front.address("front"), "POST", "/note/1", headers, b"x" * 900, DEADLINE_MS / 1000)
         request.reply, request.ended_at = reply, record.now()
+        if reply.status == 0 and front.address("front") in self._addresses:
+            self._addresses.remove(front.address("front"))  # it has failed this client
         end = "complete" if reply.complete else "cut"
         record.line(f"client has {request.id}: {reply.status} {end}, {reply.body.count(b'id:')} events")
 
@@ -122,7 +127,7 @@
             continue
         is_planned = request.ended_at >= term_at and request.ended_at <= term_at + GRACE_S + 1.0
         is_excused = request.sent_at <= term_at + 3.0 and request.ended_at >= term_at + GRACE_S * 5 / 6
-        is_passed_on = reply.status == 200  # its server had begun to answer
+        is_passed_on = reply.status == 200 and request.id not in FINISHED  # its server was still sending
         if is_planned and is_passed_on and not is_excused:
             lost.append(request)
             sent, ended = request.sent_at - term_at, request.ended_at - term_at
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -52,6 +52,7 @@
 }
 # What a case returns; `run.sh` exits with 0, 1 and 2 for them. An exception that ends Python is not BROKEN.
 HELD, BROKEN, NOT_RUN = 0, 10, 2
+CONTRACTS = ("base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "places")
 HEARTBEAT_S = 1.2
 MAX_HEAD_BYTES = 64 * 1024
 _ANSWER_ERRORS = (OSError, EOFError, ValueError, asyncio.IncompleteReadError, asyncio.LimitOverrunError)
@@ -212,19 +213,9 @@
             "discovery": "registry",
             "entry": "directory",
             "heartbeat_ms": int(HEARTBEAT_S * 1000),
-            "contracts": [
-                "base",
-                "drain",
-                "config",
-                "cost",
-                "retry",
-                "recover",
-                "engine",
-                "stream",
-                "places",
-            ],
+            "contracts": self.site.contracts,
             "fault_tolerance": {"machines": self.site.tolerance, "zones": 1, "regions": 1},
-            "bounds": BOUNDS,
+            "bounds": self.site.bounds,
         }
 
     async def start(self) -> None:
@@ -247,6 +238,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.site.has_ended:
+            self.process.kill()
+            await self.process.wait()
         self.site.record.line(f"{self.name} is started")
 
     def send(self, number: signal.Signals) -> None:
@@ -280,6 +274,9 @@
         self, folder: Path, record: Record, fronts: int = 2, zones: dict[str, str] = ZONES, tolerance: int = 1
     ) -> None:
         self.folder, self.record = folder, record
+        self.has_ended = False
+        self.bounds: dict[str, float] = dict(BOUNDS)
+        self.contracts = [*CONTRACTS]
         self.zones, self.tolerance = zones, tolerance
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.commands = {role: entry["run"].split() for role, entry in deploy["roles"].items()}
@@ -360,7 +357,8 @@
         raise CannotRunError(f"no clear answer to {method} {target}")
 
     async def end(self) -> None:
-        """End all processes."""
+        """End all processes; one that is being started meanwhile ends, too."""
+        self.has_ended = True
         for machine in self.machines:
             if machine.process is not None and machine.process.returncode is None:
                 machine.process.send_signal(signal.SIGCONT)
@@ -403,6 +401,7 @@
         self.site, self.service, self.zone, self.instance = site, service, zone, f"i-{name}"
         self.ip = site.next_ip()
         self.state = "ready"
+        self.models = ["m"]
         self.sequence = 0
         self.runs: list[str] = []
         self._serve = serve
@@ -478,7 +477,7 @@
                 "state": self.state,
                 "cold_remaining_ms": 0,
                 "stage": "both",
-                "models": [{"name": "m", "generation": 1, "adapters": []}],
+                "models": [{"name": name, "generation": 1, "adapters": []} for name in self.models],
                 "sequence": self.sequence,
             }
             for machine in own_first:
@@ -544,12 +543,16 @@
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
 
     async def timed() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # a script that is ended ends its own
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await play(temporary, record)
 
     try:
         code = asyncio.run(timed())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.line(f"could not run: {error!r}")
         code = NOT_RUN
     finally:
